--- /dev/null
+++ b/src/agent/agent.cpp
@@ -0,0 +1,300 @@
+#include "agent/agent.h"
+
+#include "core/rendezvous.h"
+#include "runtime/log.h"
+
+#include <boost/json.hpp>
+
+namespace damaskwalk {
+
+namespace {
+
+constexpr std::uint64_t kTicksPerFlowPoll = 2;
+constexpr std::uint64_t kTicksPerRegister = 5;
+constexpr std::size_t kFactsPerHeartbeat = 6;
+constexpr std::size_t kEventsPerAnswer = 200;
+constexpr Millis kKeyPullWithin{ 1000 };
+constexpr Millis kDrainPoll{ 20 };
+constexpr Millis kStragglers{ 400 };
+
+} // namespace
+
+Agent::Agent(Node& aNode, const AgentSettings& aSettings)
+  : node_(aNode)
+  , board_(aNode, aSettings)
+  , flows_(board_)
+  , directory_(board_, flows_)
+  , executor_(board_)
+  , requests_(board_, executor_)
+  , feeds_(board_)
+  , handover_(board_, flows_)
+  , nextHeartbeat_(board_.Now())
+{
+}
+
+auto Agent::Begin() -> void
+{
+  node_.Spawn(executor_.WatchHealth());
+}
+
+auto Agent::OnFrame(std::string_view) -> void
+{
+  // Frames come through balancers only.
+}
+
+auto Agent::OnMessage(const Letter& aLetter) -> void
+{
+  const auto& sender = aLetter.envelope.sender;
+  const auto& message = aLetter.message;
+  if (const auto* packet = std::get_if<PacketForward>(&message)) {
+    directory_.TakePacket(*packet);
+  } else if (const auto* beat = std::get_if<Heartbeat>(&message)) {
+    TakeHeartbeat(aLetter.envelope, *beat);
+  } else if (const auto* facts = std::get_if<FlowRegister>(&message)) {
+    directory_.TakeRegister(sender, *facts);
+  } else if (const auto* lookup = std::get_if<FlowLookup>(&message)) {
+    directory_.TakeLookup(sender, *lookup);
+  } else if (const auto* reply = std::get_if<FlowLookupReply>(&message)) {
+    directory_.TakeLookupReply(sender, *reply);
+  } else if (const auto* reject = std::get_if<FlowReject>(&message)) {
+    for (const auto& fact : reject->facts) {
+      flows_.Reject(fact);
+    }
+  }
+}
+
+auto Agent::OnCall(Letter aLetter) -> Task<Message>
+{
+  auto& message = aLetter.message;
+  const auto sender = aLetter.envelope.sender;
+  if (auto* execute = std::get_if<ExecuteRequest>(&message)) {
+    co_return co_await executor_.Execute(std::move(*execute));
+  }
+  if (const auto* claim = std::get_if<KeyClaim>(&message)) {
+    co_return requests_.TakeClaim(*claim);
+  }
+  if (const auto* outcome = std::get_if<KeyOutcome>(&message)) {
+    board_.keys.Finish(*outcome);
+    co_return TextReply{};
+  }
+  if (const auto* handover = std::get_if<Handover>(&message)) {
+    co_return handover_.Take(*handover);
+  }
+  if (const auto* pull = std::get_if<KeyPull>(&message)) {
+    co_return board_.keys.Export(sender, pull->targetsDigest);
+  }
+  if (const auto* resign = std::get_if<KeyResign>(&message)) {
+    board_.keys.TakeResignation(sender, resign->targetsDigest, resign->roles);
+    beatNow_ = true;
+  }
+  co_return TextReply{};
+}
+
+auto Agent::TakeHeartbeat(const Envelope& aEnvelope,
+                          const Heartbeat& aHeartbeat) -> void
+{
+  const auto now = board_.Now();
+  const auto document = node_.Board().documents.Current();
+  const auto* own = board_.OwnService(*document);
+  node_.Board().members.Merge(aHeartbeat.facts);
+  if (own && own->id != aHeartbeat.service) {
+    return;
+  }
+  board_.keys.TakeHeartbeat(aEnvelope.sender,
+                            aEnvelope.incarnation,
+                            aHeartbeat.sequence,
+                            aHeartbeat.targetsDigest,
+                            aHeartbeat.heard);
+  {
+    const std::lock_guard lock(board_.peers.mutex);
+    auto& peer = board_.peers.peers[aEnvelope.sender];
+    peer.load = aHeartbeat.load;
+    peer.at = now;
+    peer.leaving = aHeartbeat.leaving != 0;
+    peer.placed = 0;
+    peer.added = 0;
+  }
+  const std::lock_guard lock(board_.admission.mutex);
+  board_.admission.rates.TakeReport(aEnvelope.sender, aHeartbeat.heaviest, now);
+}
+
+auto Agent::SendHeartbeats() -> void
+{
+  const auto document = node_.Board().documents.Current();
+  const auto* own = board_.OwnService(*document);
+  if (!own) {
+    return;
+  }
+  Heartbeat beat;
+  beat.service = own->id;
+  beat.targetsDigest = board_.keys.TargetsDigest();
+  beat.sequence = board_.keys.BeginHeartbeat();
+  beat.leaving = board_.TakesNewWork() ? 0 : 1;
+  beat.load = executor_.Load();
+  beat.heard = board_.keys.HeardList();
+  {
+    const std::lock_guard lock(board_.admission.mutex);
+    beat.heaviest = board_.admission.rates.Heaviest(board_.Now());
+  }
+  beat.facts = node_.Board().members.TakeFacts(kFactsPerHeartbeat);
+  for (const auto& backend : own->backends) {
+    if (backend.agent != node_.Self()) {
+      node_.Send(backend.agent, beat);
+    }
+  }
+}
+
+auto Agent::OnTick() -> void
+{
+  const auto now = board_.Now();
+  ++ticks_;
+  if (now >= nextHeartbeat_ || beatNow_.exchange(false)) {
+    nextHeartbeat_ = now + kHeartbeatPeriod;
+    SendHeartbeats();
+  }
+  if (ticks_ % kTicksPerFlowPoll == 0) {
+    flows_.Tick();
+  }
+  if (ticks_ % kTicksPerRegister == 0) {
+    directory_.Tick();
+    handover_.Tick();
+  }
+  requests_.Tick();
+  if (!pullingKeys_ && !board_.keys.PullsWanted().empty()) {
+    pullingKeys_ = true;
+    node_.Spawn(PullKeys());
+  }
+}
+
+auto Agent::PullKeys() -> Task<void>
+{
+  const auto document = node_.Board().documents.Current();
+  const auto* own = board_.OwnService(*document);
+  for (const auto& former : board_.keys.PullsWanted()) {
+    const KeyPull pull{ own ? own->id : ServiceId{},
+                        board_.keys.TargetsDigest() };
+    auto outcome = co_await node_.Call(former, pull, kKeyPullWithin);
+    const auto* reply = std::get_if<KeyPullReply>(&outcome.message);
+    if (outcome.status == CallStatus::Replied && reply &&
+        pull.targetsDigest == board_.keys.TargetsDigest()) {
+      board_.keys.Import(former, *reply);
+    }
+  }
+  co_await node_.Sleep(kDrainPoll);
+  pullingKeys_ = false;
+}
+
+auto Agent::OnDocument(DocumentPtr, DocumentPtr aNow) -> void
+{
+  const auto* own = board_.OwnService(*aNow);
+  std::vector<Endpoint> targets;
+  if (own) {
+    for (const auto& backend : own->backends) {
+      targets.push_back(backend.agent);
+    }
+  }
+  node_.Board().members.SetPeers(targets);
+  board_.keys.SetTargets(targets);
+  executor_.OnDocument(*aNow);
+  flows_.EndForeign(*aNow);
+  directory_.RegisterAll();
+  beatNow_ = true;
+}
+
+auto Agent::OnMembers(const std::vector<MemberChange>& aChanges) -> void
+{
+  directory_.OnMembers(aChanges);
+}
+
+auto Agent::ResignKeys() -> Task<void>
+{
+  const auto document = node_.Board().documents.Current();
+  const auto* own = board_.OwnService(*document);
+  board_.keys.Resign();
+  if (!own) {
+    co_return;
+  }
+  for (const auto& backend : own->backends) {
+    if (backend.agent == node_.Self() ||
+        node_.Board().members.IsDead(backend.agent)) {
+      continue;
+    }
+    const auto digest = board_.keys.TargetsDigest();
+    co_await node_.Call(
+      backend.agent,
+      KeyResign{ own->id, digest, board_.keys.Export(backend.agent, digest) },
+      kKeyPullWithin);
+  }
+}
+
+auto Agent::Drain() -> Task<void>
+{
+  beatNow_ = true;
+  const auto busy = [this] {
+    return board_.flows.Count() > 0 || handover_.IsBusy() ||
+           requests_.InFlight() > 0 || executor_.Running() > 0;
+  };
+  while (busy()) {
+    co_await node_.Sleep(kDrainPoll);
+  }
+  co_await ResignKeys();
+  // Packets that are still on their way here are passed on.
+  co_await node_.Sleep(kStragglers);
+}
+
+auto Agent::Status() const -> boost::json::object
+{
+  const auto load = executor_.Load();
+  const auto document = node_.Board().documents.Current();
+  const auto* own = board_.OwnBackend(*document);
+  boost::json::object status;
+  status["role"] = "agent";
+  status["service"] = own ? own->serviceName : "";
+  status["backend_server"] = own ? own->name : "";
+  status["takes_new_work"] = board_.TakesNewWork();
+  status["flows"] = load.flows;
+  status["directory_entries"] = board_.directory.Size();
+  status["slots"] = load.slots;
+  status["slots_busy"] = load.busy;
+  status["slots_limit"] = load.limit;
+  status["queued"] = load.queued;
+  status["utilisation"] = load.utilisation / 1e6;
+  status["service_seconds"] = load.serviceMicros / 1e6;
+  status["key_records"] = board_.keys.RecordCount();
+  status["key_lease"] = board_.keys.HoldsLease();
+  return status;
+}
+
+auto Agent::Explain(const ExplainQuery& aQuery) const -> boost::json::object
+{
+  boost::json::object answer;
+  answer["address"] = ToText(node_.Self());
+  const auto flow = ParseFlowKey(aQuery.flow);
+  if (flow) {
+    const auto document = node_.Board().documents.Current();
+    if (const auto* service = document->FindByAddress(flow->address)) {
+      answer["service"] = service->name;
+      boost::json::array agents;
+      for (const auto& agent : board_.DirectoryAgents(*service, *flow)) {
+        agents.emplace_back(ToText(agent));
+      }
+      answer["directory_agents"] = std::move(agents);
+    }
+    if (const auto entry = board_.directory.Find(*flow)) {
+      answer["directory_owner"] = ToText(entry->owner);
+      answer["epoch"] = entry->epoch;
+    }
+    answer["owned_here"] = flows_.Owns(*flow, 0).has_value();
+  }
+  const auto words = flow ? "flow=" + aQuery.flow : "request=" + aQuery.request;
+  boost::json::array events;
+  for (const auto& event :
+       node_.Board().journal.Find(words, kEventsPerAnswer)) {
+    events.push_back(
+      { { "wall_millis", event.wallMillis }, { "event", event.text } });
+  }
+  answer["events"] = std::move(events);
+  return answer;
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/agent/agent.h
@@ -0,0 +1,53 @@
+#pragma once
+
+// The role beside each backend server: owner of flows and requests, directory
+// agent, executor and key home.
+
+#include "agent/directory.h"
+#include "agent/executor.h"
+#include "agent/feeds.h"
+#include "agent/flows.h"
+#include "agent/handover.h"
+#include "agent/requests.h"
+
+namespace damaskwalk {
+
+class Agent final : public NodeRole
+{
+public:
+  Agent(Node& aNode, const AgentSettings& aSettings);
+
+  auto Begin() -> void;
+  auto OnFrame(std::string_view aBytes) -> void override;
+  auto OnMessage(const Letter& aLetter) -> void override;
+  auto OnCall(Letter aLetter) -> Task<Message> override;
+  auto OnTick() -> void override;
+  auto OnDocument(DocumentPtr aBefore, DocumentPtr aNow) -> void override;
+  auto OnMembers(const std::vector<MemberChange>& aChanges) -> void override;
+  auto Status() const -> boost::json::object override;
+  auto Explain(const ExplainQuery& aQuery) const
+    -> boost::json::object override;
+  auto Drain() -> Task<void> override;
+
+private:
+  auto SendHeartbeats() -> void;
+  auto TakeHeartbeat(const Envelope& aEnvelope, const Heartbeat& aHeartbeat)
+    -> void;
+  auto PullKeys() -> Task<void>;
+  auto ResignKeys() -> Task<void>;
+
+  Node& node_;
+  mutable AgentBoard board_;
+  mutable FlowController flows_;
+  DirectoryController directory_;
+  mutable Executor executor_;
+  RequestController requests_;
+  FeedController feeds_;
+  HandoverController handover_;
+  TimePoint nextHeartbeat_;
+  std::uint64_t ticks_ = 0;
+  std::atomic<bool> beatNow_{ false };
+  std::atomic<bool> pullingKeys_{ false };
+};
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/agent/board.cpp
@@ -0,0 +1,144 @@
+#include "agent/board.h"
+
+#include "core/rendezvous.h"
+
+#include <algorithm>
+
+namespace damaskwalk {
+
+namespace {
+
+// A peer's report that is older says nothing.
+constexpr Millis kReportStale{ 2000 };
+
+} // namespace
+
+AgentBoard::AgentBoard(Node& aNode, const AgentSettings& aSettings)
+  : node(aNode)
+  , settings(aSettings)
+  , admission({ aSettings.maxQueue, aSettings.maxQueue / 8 + 1 },
+              aNode.Board().clock.Now())
+  , keys({ aNode.Self(), aSettings.clockSkew, kMaxKeyRecords },
+         aNode.Board().clock)
+  , placement(MakePlacement(*ParsePlacementKind(aSettings.placement),
+                            HashOf(aNode.Self())))
+{
+}
+
+auto AgentBoard::OwnService(const Document& aDocument) const -> const Service*
+{
+  return aDocument.FindByAgent(node.Self());
+}
+
+auto AgentBoard::OwnBackend(const Document& aDocument) const
+  -> const BackendServer*
+{
+  const auto* service = OwnService(aDocument);
+  return service ? service->FindBackend(node.Self()) : nullptr;
+}
+
+auto AgentBoard::TakesNewWork() const -> bool
+{
+  const auto document = node.Board().documents.Current();
+  const auto* own = OwnBackend(*document);
+  return own && own->state == BackendState::Active && !node.IsStopping() &&
+         !node.IsListedLeaving() && !backend.draining && backend.reachable &&
+         node.IsCurrent();
+}
+
+auto AgentBoard::Candidates(const Service& aService) -> std::vector<Candidate>
+{
+  const auto now = Now();
+  const bool takesWork = TakesNewWork();
+  const auto& members = node.Board().members;
+  std::vector<Candidate> candidates;
+  std::size_t fit = 0;
+  std::vector<bool> unfit;
+  const std::scoped_lock lock(peers.mutex);
+  for (const auto& backend : aService.backends) {
+    Candidate candidate;
+    candidate.agent = backend.agent;
+    candidate.failureDomain = backend.failureDomain;
+    candidate.connections = backend.connections;
+    bool healthy = true;
+    if (backend.agent == node.Self()) {
+      candidate.usable = takesWork;
+      candidate.limit = admission.slots.Limit();
+      candidate.busy = admission.slots.Busy();
+      candidate.utilisation = admission.slots.Utilisation(now);
+      candidate.serviceSeconds = admission.slots.ServiceSeconds();
+      candidate.flows = static_cast<std::uint32_t>(flows.Count());
+      healthy = admission.slots.IsFit(now);
+    } else {
+      const auto found = peers.peers.find(backend.agent);
+      const bool known =
+        found != peers.peers.end() && now - found->second.at < kReportStale;
+      candidate.usable = known && members.IsUsable(backend.agent) &&
+                         backend.state == BackendState::Active &&
+                         !found->second.leaving;
+      if (known) {
+        const auto& peer = found->second;
+        candidate.limit = std::max(peer.load.limit, 1U);
+        candidate.busy = std::max(peer.load.busy, peer.dispatched);
+        candidate.utilisation = peer.load.utilisation / 1e6 + peer.added;
+        candidate.serviceSeconds = std::max(peer.load.serviceMicros, 1U) / 1e6;
+        candidate.flows = peer.load.flows + peer.placed;
+        healthy = peer.load.fit != 0;
+      }
+    }
+    fit += healthy && candidate.usable ? 1 : 0;
+    unfit.push_back(!healthy);
+    candidates.push_back(std::move(candidate));
+  }
+  // Servers that fail are left out only while most of the service is fit.
+  if (fit * 2 > candidates.size()) {
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+      candidates[i].usable = candidates[i].usable && !unfit[i];
+    }
+  }
+  return candidates;
+}
+
+auto AgentBoard::DirectoryAgents(const Service& aService,
+                                 const FlowKey& aFlow) const
+  -> std::vector<Endpoint>
+{
+  const auto& members = node.Board().members;
+  std::vector<Endpoint> targets;
+  for (const auto& backend : aService.backends) {
+    const auto state = members.StateOf(backend.agent);
+    const bool there =
+      state != MemberState::Dead && state != MemberState::Paused;
+    if (there) {
+      targets.push_back(backend.agent);
+    }
+  }
+  auto order = RendezvousOrder(HashOf(aFlow), std::move(targets));
+  if (order.size() <= 2) {
+    return order;
+  }
+  const auto domainOf = [&aService](const Endpoint& aAgent) {
+    return aService.FindBackend(aAgent)->failureDomain;
+  };
+  const auto first = domainOf(order.front());
+  const auto other =
+    std::find_if(order.begin() + 1, order.end(), [&](const auto& aAgent) {
+      return domainOf(aAgent) != first;
+    });
+  const auto second = other == order.end() ? order[1] : *other;
+  return { order.front(), second };
+}
+
+auto AgentBoard::Trace(const TraceContext& aParent,
+                       std::string_view aName,
+                       std::string_view aNote,
+                       std::chrono::microseconds aTook) -> TraceContext
+{
+  return node.Traces().Record({ std::string(aName),
+                                aParent,
+                                node.Board().clock.Wall() - aTook,
+                                aTook,
+                                std::string(aNote) });
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/agent/directory.cpp
@@ -0,0 +1,506 @@
+#include "agent/directory.h"
+
+#include "runtime/log.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <algorithm>
+
+namespace damaskwalk {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr std::uint8_t kMaxHops = 6;
+constexpr std::size_t kHeldPerFlow = 4;
+constexpr std::size_t kFactsPerMessage = 128;
+constexpr std::size_t kMessagesPerTick = 8;
+
+} // namespace
+
+DirectoryController::DirectoryController(AgentBoard& aBoard,
+                                         FlowController& aFlows)
+  : board_(aBoard)
+  , flows_(aFlows)
+  , placed_(aBoard.node.Meter().Counter("damaskwalk_flows_placed_total",
+                                        "First packets placed by this agent"))
+  , relayed_(aBoard.node.Meter().Counter("damaskwalk_packets_relayed_total",
+                                         "Packets passed on to an owner"))
+  , recovered_(aBoard.node.Meter().Counter("damaskwalk_flows_recovered_total",
+                                           "Flows found by asking around"))
+  , resets_(aBoard.node.Meter().Counter("damaskwalk_flows_reset_total",
+                                        "Flows reset because no owner lives"))
+  , wrongService_(
+      aBoard.node.Meter().Counter("damaskwalk_wrong_service_total",
+                                  "Packets refused: not this agent's service"))
+  , hints_(aBoard.node.Meter().Counter("damaskwalk_hints_sent_total",
+                                       "Hints sent to balancers"))
+{
+  board_.established.SetConsumer(
+    [this](std::vector<FlowKey> aFlows) {
+      const std::lock_guard lock(registerMutex_);
+      toRegister_.insert(toRegister_.end(), aFlows.begin(), aFlows.end());
+    },
+    board_.node);
+  board_.ended.SetConsumer(
+    [this](std::vector<FlowFact> aFacts) { SendFacts(aFacts); }, board_.node);
+}
+
+auto DirectoryController::TakePacket(const PacketForward& aPacket) -> void
+{
+  leaf::try_handle_all(
+    [&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(frame, DecodeFrame(aPacket.frame));
+      const auto flow = FlowOf(frame);
+      const auto document = board_.node.Board().documents.Current();
+      const auto* service = document->FindByAddress(flow.address);
+      const auto* own = board_.OwnService(*document);
+      const bool foreign = !service || service->id != aPacket.service ||
+                           (own && own->id != service->id);
+      if (foreign) {
+        wrongService_.Increment();
+        if (aPacket.balancer.IsValid()) {
+          board_.node.Send(aPacket.balancer, WrongService{ flow });
+        }
+        return {};
+      }
+      const bool first = frame.Has(flag::kSyn);
+      const bool early =
+        !board_.node.IsCurrent() ||
+        (first && board_.node.Board().documents.IsQuarantined(flow.address));
+      if (early || aPacket.hops > kMaxHops) {
+        return {};
+      }
+      if (flows_.TakePacket(frame, aPacket)) {
+        if (aPacket.stage == PacketStage::Entry) {
+          Hint(aPacket, flow, board_.node.Self());
+        }
+        board_.Trace(frame.trace, "owner", "flow=" + ToText(flow));
+        return {};
+      }
+      const auto moved = flows_.MovedTo(flow);
+      if (moved.IsValid() && !first) {
+        PassOn(frame, aPacket, moved);
+        return {};
+      }
+      TakeUnknown(frame, aPacket);
+      return {};
+    },
+    [&] { LOG_EVERY_N(WARNING, 1000) << "event=bad_frame_dropped"; });
+}
+
+auto DirectoryController::TakeUnknown(const Frame& aFrame,
+                                      PacketForward aPacket) -> void
+{
+  const auto flow = FlowOf(aFrame);
+  const auto self = board_.node.Self();
+  const auto document = board_.node.Board().documents.Current();
+  const auto* service = document->FindByAddress(flow.address);
+  const bool first = aFrame.Has(flag::kSyn);
+  if (first && aPacket.stage == PacketStage::Placed) {
+    OpenHere(aFrame, 1);
+    return;
+  }
+  auto entry = board_.directory.Find(flow);
+  const bool passedOn = aPacket.stage == PacketStage::Relayed ||
+                        aPacket.stage == PacketStage::Recovered;
+  if (passedOn) {
+    // The sender believes that the flow lives here, and it does not.
+    if (first && aPacket.hops <= 2) {
+      OpenHere(aFrame, entry ? entry->epoch : 1);
+      return;
+    }
+    board_.directory.Release(flow, self);
+  } else {
+    const auto agents = board_.DirectoryAgents(*service, flow);
+    const bool directory =
+      std::ranges::find(agents, self) != agents.end() || entry.has_value();
+    const bool leading = !agents.empty() && agents.front() == self;
+    if (!leading && !entry && !agents.empty() && aPacket.hops < kMaxHops - 2) {
+      if (aPacket.stage == PacketStage::Hinted && !directory &&
+          aPacket.balancer.IsValid()) {
+        board_.node.Send(aPacket.balancer, FlowHint{ flow, {} });
+      }
+      auto forward = aPacket;
+      forward.stage = PacketStage::Entry;
+      ++forward.hops;
+      board_.node.Send(agents.front(), forward);
+      return;
+    }
+  }
+  entry = board_.directory.Find(flow);
+  const bool ownerGone =
+    entry &&
+    (entry->owner == self || board_.node.Board().members.IsDead(entry->owner));
+  if (entry && !ownerGone) {
+    PassOn(aFrame, std::move(aPacket), entry->owner);
+    return;
+  }
+  if (entry) {
+    board_.directory.Release(flow, entry->owner);
+  }
+  if (first) {
+    Place(aFrame, std::move(aPacket), entry ? entry->epoch + 1 : 1);
+  } else {
+    Recover(aFrame, std::move(aPacket));
+  }
+}
+
+auto DirectoryController::PassOn(const Frame& aFrame,
+                                 PacketForward aPacket,
+                                 const Endpoint& aTo) -> void
+{
+  const auto flow = FlowOf(aFrame);
+  Hint(aPacket, flow, aTo);
+  aPacket.stage = PacketStage::Relayed;
+  ++aPacket.hops;
+  board_.node.Send(aTo, aPacket);
+  relayed_.Increment();
+  board_.Trace(aFrame.trace, "directory", "owner=" + ToText(aTo));
+}
+
+auto DirectoryController::Hint(const PacketForward& aPacket,
+                               const FlowKey& aFlow,
+                               const Endpoint& aOwner) -> void
+{
+  if (board_.settings.hints && aPacket.balancer.IsValid() &&
+      board_.node.Send(aPacket.balancer, FlowHint{ aFlow, aOwner })) {
+    hints_.Increment();
+  }
+}
+
+auto DirectoryController::OpenHere(const Frame& aSyn, std::uint32_t aEpoch)
+  -> void
+{
+  if (!flows_.Open(aSyn, aEpoch)) {
+    Reset(FlowOf(aSyn), 0, "flow_table_full");
+  }
+}
+
+auto DirectoryController::Place(const Frame& aSyn,
+                                PacketForward aPacket,
+                                std::uint32_t aEpoch) -> void
+{
+  const auto flow = FlowOf(aSyn);
+  const auto document = board_.node.Board().documents.Current();
+  const auto* service = document->FindByAddress(flow.address);
+  std::size_t chosen = Placement::kNone;
+  std::vector<Candidate> candidates;
+  {
+    const std::lock_guard lock(board_.admission.mutex);
+    candidates = board_.Candidates(*service);
+    chosen = board_.placement->PlaceFlow(candidates, HashOf(flow));
+  }
+  if (chosen == Placement::kNone) {
+    Reset(flow, 0, "no_backend_server_takes_flows");
+    return;
+  }
+  const auto owner = candidates[chosen].agent;
+  {
+    const std::lock_guard lock(board_.peers.mutex);
+    const auto peer = board_.peers.peers.find(owner);
+    if (peer != board_.peers.peers.end()) {
+      ++peer->second.placed;
+    }
+  }
+  const FlowFact fact{ flow, owner, aEpoch, 0 };
+  board_.directory.Register(fact);
+  placed_.Increment();
+  board_.Note("event=flow_placed flow=" + ToText(flow) + " owner=" +
+              ToText(owner) + " policy=" + board_.placement->Name() +
+              " flows_there=" + std::to_string(candidates[chosen].flows));
+  board_.Trace(aSyn.trace, "directory", "placed=" + ToText(owner));
+  for (const auto& agent : board_.DirectoryAgents(*service, flow)) {
+    if (agent != board_.node.Self()) {
+      board_.node.Send(agent, FlowRegister{ service->id, { fact } });
+    }
+  }
+  if (owner == board_.node.Self()) {
+    OpenHere(aSyn, aEpoch);
+    return;
+  }
+  aPacket.stage = PacketStage::Placed;
+  ++aPacket.hops;
+  board_.node.Send(owner, aPacket);
+}
+
+auto DirectoryController::ServiceAgents() const -> std::vector<Endpoint>
+{
+  const auto document = board_.node.Board().documents.Current();
+  const auto* own = board_.OwnService(*document);
+  std::vector<Endpoint> agents;
+  if (own) {
+    for (const auto& backend : own->backends) {
+      agents.push_back(backend.agent);
+    }
+  }
+  // Former targets that still run may hold flows.
+  const std::lock_guard lock(board_.peers.mutex);
+  for (const auto& [agent, peer] : board_.peers.peers) {
+    if (std::ranges::find(agents, agent) == agents.end()) {
+      agents.push_back(agent);
+    }
+  }
+  return agents;
+}
+
+auto DirectoryController::Recover(const Frame& aFrame, PacketForward aPacket)
+  -> void
+{
+  const auto flow = FlowOf(aFrame);
+  if (aFrame.Has(flag::kRst)) {
+    return;
+  }
+  const std::lock_guard lock(pendingMutex_);
+  const auto found = pending_.find(flow);
+  if (found != pending_.end()) {
+    found->second.acknowledgement = aFrame.acknowledgement;
+    if (found->second.held.size() < kHeldPerFlow) {
+      found->second.held.push_back(std::move(aPacket));
+    }
+    return;
+  }
+  if (pending_.size() >= kMaxHeldPackets) {
+    return;
+  }
+  auto& pending = pending_[flow];
+  pending.held.push_back(std::move(aPacket));
+  pending.acknowledgement = aFrame.acknowledgement;
+  pending.since = board_.Now();
+  for (const auto& agent : ServiceAgents()) {
+    if (agent != board_.node.Self()) {
+      pending.asked.push_back(agent);
+    }
+  }
+  Ask(flow, pending);
+  if (Conclude(flow, pending)) {
+    pending_.erase(flow);
+  }
+}
+
+auto DirectoryController::Ask(const FlowKey& aFlow, Pending& aPending) -> void
+{
+  aPending.lastAsked = board_.Now();
+  for (const auto& agent : aPending.asked) {
+    if (!aPending.answered.contains(agent) &&
+        !board_.node.Board().members.IsDead(agent)) {
+      board_.node.Send(agent, FlowLookup{ aFlow, aPending.acknowledgement });
+    }
+  }
+}
+
+// True when nobody has the flow: every agent said so or is dead.
+auto DirectoryController::Conclude(const FlowKey& aFlow, Pending& aPending)
+  -> bool
+{
+  const auto& members = board_.node.Board().members;
+  for (const auto& agent : aPending.asked) {
+    if (!aPending.answered.contains(agent) && !members.IsDead(agent)) {
+      return false;
+    }
+  }
+  if (members.SuspectsSelf()) {
+    return false;
+  }
+  Reset(aFlow, aPending.acknowledgement, "no_owner_lives");
+  return true;
+}
+
+auto DirectoryController::TakeLookup(const Endpoint& aSender,
+                                     const FlowLookup& aLookup) -> void
+{
+  FlowLookupReply reply{ aLookup.flow, {}, 0 };
+  if (const auto epoch = flows_.Owns(aLookup.flow, aLookup.acknowledgement)) {
+    reply.owner = board_.node.Self();
+    reply.epoch = *epoch;
+  } else if (const auto moved = flows_.MovedTo(aLookup.flow); moved.IsValid()) {
+    reply.owner = moved;
+  }
+  board_.node.Send(aSender, reply);
+}
+
+auto DirectoryController::TakeLookupReply(const Endpoint& aSender,
+                                          const FlowLookupReply& aReply) -> void
+{
+  std::vector<PacketForward> held;
+  {
+    const std::lock_guard lock(pendingMutex_);
+    const auto found = pending_.find(aReply.flow);
+    if (found == pending_.end()) {
+      return;
+    }
+    auto& pending = found->second;
+    if (!aReply.owner.IsValid()) {
+      pending.answered.insert(aSender);
+      if (Conclude(aReply.flow, pending)) {
+        pending_.erase(found);
+      }
+      return;
+    }
+    held = std::move(pending.held);
+    pending_.erase(found);
+  }
+  recovered_.Increment();
+  board_.Note("event=flow_recovered flow=" + ToText(aReply.flow) +
+              " owner=" + ToText(aReply.owner) + " cause=asked_around");
+  board_.directory.Register({ aReply.flow, aReply.owner, aReply.epoch, 0 });
+  for (auto& packet : held) {
+    Hint(packet, aReply.flow, aReply.owner);
+    packet.stage = PacketStage::Recovered;
+    ++packet.hops;
+    board_.node.Send(aReply.owner, packet);
+  }
+}
+
+auto DirectoryController::TakeRegister(const Endpoint& aSender,
+                                       const FlowRegister& aRegister) -> void
+{
+  FlowReject reject;
+  for (const auto& fact : aRegister.facts) {
+    if (fact.ended != 0) {
+      board_.directory.Release(fact.flow, fact.owner);
+      continue;
+    }
+    if (board_.directory.Register(fact) != RegisterResult::Rejected) {
+      continue;
+    }
+    const auto entry = board_.directory.Find(fact.flow);
+    if (entry && board_.node.Board().members.IsDead(entry->owner)) {
+      board_.directory.Release(fact.flow, entry->owner);
+      board_.directory.Register(fact);
+    } else if (entry) {
+      reject.facts.push_back({ fact.flow, entry->owner, entry->epoch, 0 });
+    }
+  }
+  if (!reject.facts.empty()) {
+    board_.node.Send(aSender, reject);
+  }
+}
+
+auto DirectoryController::RegisterAll() -> void
+{
+  registerAll_ = true;
+}
+
+auto DirectoryController::SendFacts(const std::vector<FlowFact>& aFacts) -> void
+{
+  const auto document = board_.node.Board().documents.Current();
+  std::unordered_map<Endpoint, FlowRegister, KeyHash> messages;
+  for (const auto& fact : aFacts) {
+    const auto* service = document->FindByAddress(fact.flow.address);
+    if (!service) {
+      continue;
+    }
+    for (const auto& agent : board_.DirectoryAgents(*service, fact.flow)) {
+      if (agent == board_.node.Self()) {
+        TakeRegister(agent, { service->id, { fact } });
+        continue;
+      }
+      auto& message = messages[agent];
+      message.service = service->id;
+      message.facts.push_back(fact);
+    }
+  }
+  for (auto& [agent, message] : messages) {
+    if (board_.node.Send(agent, message) || message.facts.front().ended != 0) {
+      continue;
+    }
+    // Over budget: try again later.
+    const std::lock_guard lock(registerMutex_);
+    for (const auto& fact : message.facts) {
+      toRegister_.push_back(fact.flow);
+    }
+  }
+}
+
+auto DirectoryController::Tick() -> void
+{
+  std::vector<FlowKey> batch;
+  {
+    const std::lock_guard lock(registerMutex_);
+    if (registerAll_.exchange(false)) {
+      toRegister_ = flows_.Keys();
+    }
+    const auto count =
+      std::min(toRegister_.size(), kFactsPerMessage * kMessagesPerTick);
+    batch.assign(toRegister_.end() - static_cast<std::ptrdiff_t>(count),
+                 toRegister_.end());
+    toRegister_.resize(toRegister_.size() - count);
+  }
+  std::vector<FlowFact> facts;
+  for (const auto& flow : batch) {
+    auto& shard = board_.flows.ShardOf(flow);
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.flows.find(flow);
+    if (found != shard.flows.end() && !found->second->frozen) {
+      facts.push_back({ flow, board_.node.Self(), found->second->epoch, 0 });
+    }
+  }
+  if (!facts.empty()) {
+    SendFacts(facts);
+  }
+  const auto now = board_.Now();
+  const std::lock_guard lock(pendingMutex_);
+  for (auto entry = pending_.begin(); entry != pending_.end();) {
+    auto& [flow, pending] = *entry;
+    const bool over =
+      Conclude(flow, pending) || now - pending.since > kLookupGiveUp;
+    if (over) {
+      entry = pending_.erase(entry);
+      continue;
+    }
+    if (now - pending.lastAsked > kLookupTimeout) {
+      Ask(flow, pending);
+    }
+    ++entry;
+  }
+}
+
+auto DirectoryController::OnMembers(const std::vector<MemberChange>& aChanges)
+  -> void
+{
+  for (const auto& change : aChanges) {
+    if (change.role != Role::Agent) {
+      continue;
+    }
+    RegisterAll();
+    const bool gone = change.to == MemberState::Dead;
+    if ((!gone && !change.restarted) ||
+        board_.node.Board().members.SuspectsSelf()) {
+      continue;
+    }
+    // The caller answers a reset out of sequence with an acknowledgement,
+    // which tells the directory agent the sequence that it accepts.
+    for (const auto& flow : board_.directory.FlowsOf(change.member)) {
+      board_.directory.Release(flow, change.member);
+      Frame probe;
+      probe.source = flow.address;
+      probe.destination = flow.caller;
+      probe.flags = flag::kRst;
+      board_.node.SendFrame(probe);
+    }
+  }
+}
+
+auto DirectoryController::Reset(const FlowKey& aFlow,
+                                std::uint32_t aSequence,
+                                const char* aCause) -> void
+{
+  Frame reset;
+  reset.source = aFlow.address;
+  reset.destination = aFlow.caller;
+  reset.flags = flag::kRst;
+  reset.sequence = aSequence;
+  board_.node.SendFrame(reset);
+  resets_.Increment();
+  board_.Note("event=flow_reset flow=" + ToText(aFlow) + " cause=" + aCause);
+}
+
+auto DirectoryController::PendingCount() -> std::size_t
+{
+  const std::lock_guard lock(pendingMutex_);
+  return pending_.size();
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/agent/handover.cpp
@@ -0,0 +1,189 @@
+#include "agent/handover.h"
+
+#include "runtime/log.h"
+
+#include <algorithm>
+
+namespace damaskwalk {
+
+namespace {
+
+constexpr std::size_t kFlowsPerBatch = 64;
+constexpr Millis kBatchWithin{ 1000 };
+constexpr Millis kRetryAfter{ 50 };
+
+} // namespace
+
+HandoverController::HandoverController(AgentBoard& aBoard,
+                                       FlowController& aFlows)
+  : board_(aBoard)
+  , flows_(aFlows)
+  , moved_(aBoard.node.Meter().Counter("damaskwalk_flows_handed_over_total",
+                                       "Flows given to another agent"))
+  , taken_(aBoard.node.Meter().Counter("damaskwalk_flows_taken_over_total",
+                                       "Flows taken from another agent"))
+{
+}
+
+auto HandoverController::MustLeave() -> bool
+{
+  const auto document = board_.node.Board().documents.Current();
+  if (document->version == 0) {
+    return false;
+  }
+  const auto* own = board_.OwnBackend(*document);
+  return !own || own->state != BackendState::Active ||
+         board_.node.IsStopping() || board_.node.IsListedLeaving() ||
+         board_.backend.draining || !board_.backend.reachable;
+}
+
+auto HandoverController::Tick() -> void
+{
+  if (board_.flows.Count() == 0 || !MustLeave() || !board_.node.IsCurrent()) {
+    return;
+  }
+  if (!moving_.exchange(true)) {
+    board_.node.Spawn(Move());
+  }
+}
+
+auto HandoverController::ChooseTarget(const FlowKey& aFlow,
+                                      const Endpoint& aExcept) -> Endpoint
+{
+  const auto document = board_.node.Board().documents.Current();
+  const auto* service = document->FindByAddress(aFlow.address);
+  if (!service) {
+    return {};
+  }
+  const std::lock_guard lock(board_.admission.mutex);
+  auto candidates = board_.Candidates(*service);
+  for (auto& candidate : candidates) {
+    const bool excluded =
+      candidate.agent == aExcept || candidate.agent == board_.node.Self();
+    candidate.usable = candidate.usable && !excluded;
+  }
+  const auto chosen = board_.placement->PlaceFlow(candidates, HashOf(aFlow));
+  if (chosen == Placement::kNone) {
+    return {};
+  }
+  const std::lock_guard peerLock(board_.peers.mutex);
+  ++board_.peers.peers[candidates[chosen].agent].placed;
+  return candidates[chosen].agent;
+}
+
+auto HandoverController::Move() -> Task<void>
+{
+  std::unordered_map<Endpoint, std::vector<FlowState>, KeyHash> batches;
+  for (const auto& flow : flows_.Keys()) {
+    const auto target = ChooseTarget(flow, {});
+    if (!target.IsValid()) {
+      break;
+    }
+    if (auto state = flows_.Detach(flow)) {
+      ++state->epoch;
+      auto& batch = batches[target];
+      batch.push_back(std::move(*state));
+      if (batch.size() == kFlowsPerBatch) {
+        co_await MoveBatch(target, std::exchange(batch, {}));
+      }
+    }
+  }
+  for (auto& [target, batch] : batches) {
+    if (!batch.empty()) {
+      co_await MoveBatch(target, std::move(batch));
+    }
+  }
+  co_await board_.node.Sleep(kRetryAfter);
+  moving_ = false;
+}
+
+// A lost reply leaves open whether the target has the flows, so the same
+// target is asked again until it answers or is dead. Equal epochs make the
+// repetition harmless; a next target gets a higher epoch.
+auto HandoverController::SendBatch(Endpoint aTarget, const Handover& aHandover)
+  -> Task<std::optional<HandoverReply>>
+{
+  bool maySit = false;
+  for (;;) {
+    auto outcome = co_await board_.node.Call(aTarget, aHandover, kBatchWithin);
+    const auto* reply = std::get_if<HandoverReply>(&outcome.message);
+    if (outcome.status == CallStatus::Replied && reply) {
+      co_return *reply;
+    }
+    maySit = maySit || outcome.status == CallStatus::Lost;
+    const bool gone = outcome.status == CallStatus::Refused ||
+                      board_.node.Board().members.IsDead(aTarget);
+    if (gone || !maySit) {
+      co_return std::nullopt;
+    }
+    co_await board_.node.Sleep(kRetryAfter);
+  }
+}
+
+auto HandoverController::MoveBatch(Endpoint aTarget,
+                                   std::vector<FlowState> aStates) -> Task<void>
+{
+  Handover handover;
+  handover.service = ServiceIdOf("");
+  const auto document = board_.node.Board().documents.Current();
+  if (const auto* service =
+        document->FindByAddress(aStates.front().flow.address)) {
+    handover.service = service->id;
+  }
+  handover.flows = std::move(aStates);
+  auto target = aTarget;
+  while (target.IsValid() && !handover.flows.empty()) {
+    const auto reply = co_await SendBatch(target, handover);
+    std::vector<FlowState> left;
+    for (auto& state : handover.flows) {
+      const bool refused =
+        !reply || reply->accepted == 0 ||
+        std::ranges::find(reply->refused, state.flow) != reply->refused.end();
+      if (refused) {
+        left.push_back(std::move(state));
+        continue;
+      }
+      flows_.SetMoved(state.flow, target);
+      moved_.Increment();
+      board_.Note("event=flow_handed_over flow=" + ToText(state.flow) + " to=" +
+                  ToText(target) + " epoch=" + std::to_string(state.epoch));
+    }
+    handover.flows = std::move(left);
+    if (handover.flows.empty()) {
+      break;
+    }
+    for (auto& state : handover.flows) {
+      ++state.epoch;
+    }
+    target = ChooseTarget(handover.flows.front().flow, target);
+  }
+  for (const auto& state : handover.flows) {
+    flows_.Resume(state);
+  }
+}
+
+auto HandoverController::Take(const Handover& aHandover) -> HandoverReply
+{
+  const auto document = board_.node.Board().documents.Current();
+  const auto* own = board_.OwnService(*document);
+  HandoverReply reply;
+  const bool may = own && own->id == aHandover.service && board_.TakesNewWork();
+  if (!may) {
+    return reply;
+  }
+  reply.accepted = 1;
+  for (const auto& state : aHandover.flows) {
+    const auto* service = document->FindByAddress(state.flow.address);
+    const bool belongs = service && service->id == own->id;
+    if (!belongs || !flows_.Attach(state)) {
+      reply.refused.push_back(state.flow);
+      continue;
+    }
+    taken_.Increment();
+    board_.Note("event=flow_taken_over flow=" + ToText(state.flow) +
+                " epoch=" + std::to_string(state.epoch));
+  }
+  return reply;
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/agent/handover.h
@@ -0,0 +1,37 @@
+#pragma once
+
+// Moves established flows with their whole state to other agents while the
+// own backend server, VM or process leaves.
+
+#include "agent/board.h"
+#include "agent/flows.h"
+
+namespace damaskwalk {
+
+class HandoverController
+{
+public:
+  HandoverController(AgentBoard& aBoard, FlowController& aFlows);
+
+  // Moves what can be moved now, while this agent may not keep its flows.
+  auto Tick() -> void;
+  auto Take(const Handover& aHandover) -> HandoverReply;
+  auto IsBusy() const -> bool { return moving_; }
+
+private:
+  auto MustLeave() -> bool;
+  auto Move() -> Task<void>;
+  auto MoveBatch(Endpoint aTarget, std::vector<FlowState> aStates)
+    -> Task<void>;
+  auto ChooseTarget(const FlowKey& aFlow, const Endpoint& aExcept) -> Endpoint;
+  auto SendBatch(Endpoint aTarget, const Handover& aHandover)
+    -> Task<std::optional<HandoverReply>>;
+
+  AgentBoard& board_;
+  FlowController& flows_;
+  std::atomic<bool> moving_{ false };
+  prometheus::Counter& moved_;
+  prometheus::Counter& taken_;
+};
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/agent/requests.cpp
@@ -0,0 +1,535 @@
+#include "agent/requests.h"
+
+#include "runtime/log.h"
+
+#include <algorithm>
+
+namespace damaskwalk {
+
+namespace {
+
+// A grant counts only when it arrives within this time after the claim was
+// sent: nobody can have taken the key's home over by then.
+constexpr Millis kClaimWindow = kDeadAfter - kKeyLease - Millis{ 50 };
+constexpr Millis kClaimRetry{ 60 };
+constexpr double kRetryShare = 0.1; // of fresh requests
+constexpr double kRetryBurst = 10;
+constexpr std::uint32_t kMaxTries = 8;
+constexpr Millis kBackoffBase{ 10 };
+constexpr Millis kBackoffMost{ 200 };
+constexpr double kUtilisationWindowSeconds = 4.0;
+constexpr double kReservedShare = 0.1;
+constexpr Millis kRetryAfter{ 1000 };
+constexpr std::size_t kMostHeldBack = 8;
+
+auto NeedsClaim(const Request& aRequest) -> bool
+{
+  return !aRequest.kind.repeatable && !aRequest.claimed;
+}
+
+} // namespace
+
+RequestController::RequestController(AgentBoard& aBoard, Executor& aExecutor)
+  : board_(aBoard)
+  , executor_(aExecutor)
+  , random_(HashOf(aBoard.node.Self()))
+  , answered_(aBoard.node.Meter().Counter("damaskwalk_requests_total",
+                                          "Requests by outcome",
+                                          { { "outcome", "answered" } }))
+  , notRun_(aBoard.node.Meter().Counter("damaskwalk_requests_total",
+                                        "Requests by outcome",
+                                        { { "outcome", "not_run" } }))
+  , unknown_(aBoard.node.Meter().Counter("damaskwalk_requests_total",
+                                         "Requests by outcome",
+                                         { { "outcome", "unknown" } }))
+  , retries_(aBoard.node.Meter().Counter("damaskwalk_retries_total",
+                                         "Requests tried again"))
+  , seconds_(aBoard.node.Meter().Seconds("damaskwalk_request_seconds",
+                                         "Time of a request at its owner"))
+{
+  board_.submitted.SetConsumer(
+    [this](std::vector<RequestPtr> aRequests) {
+      TakeSubmitted(std::move(aRequests));
+    },
+    board_.node);
+}
+
+auto RequestController::TakeSubmitted(std::vector<RequestPtr> aRequests) -> void
+{
+  for (const auto& request : aRequests) {
+    Admit(request);
+  }
+  Pump();
+}
+
+auto RequestController::Admit(const RequestPtr& aRequest) -> void
+{
+  const auto document = board_.node.Board().documents.Current();
+  const auto limit = document->FindCaller(aRequest->http.caller);
+  bool within = true;
+  {
+    const std::lock_guard lock(board_.admission.mutex);
+    auto& tokens = board_.admission.retryTokens;
+    tokens = std::min(tokens + kRetryShare, kRetryBurst);
+    within = board_.admission.rates.Admit(
+      aRequest->http.caller, limit.ratePerSecond, board_.Now());
+  }
+  board_.Note("event=request_arrived request=" + aRequest->http.requestId +
+              " flow=" + ToText(aRequest->flow) +
+              " kind=" + aRequest->kind.name);
+  if (!within) {
+    GiveUp(aRequest, Outcome::NotRun, ToText(Refusal::RateExceeded));
+    return;
+  }
+  if (!aRequest->kind.repeatable && aRequest->http.idempotencyKey.empty()) {
+    GiveUp(aRequest, Outcome::NotRun, "idempotency_key_missing");
+    return;
+  }
+  if (NeedsClaim(*aRequest)) {
+    ++inFlight_;
+    board_.node.Spawn(ClaimThenEnqueue(aRequest));
+    return;
+  }
+  const auto refusal = Enqueue(aRequest);
+  if (refusal != Refusal::None) {
+    GiveUp(aRequest, Outcome::NotRun, ToText(refusal));
+  }
+}
+
+auto RequestController::Enqueue(const RequestPtr& aRequest) -> Refusal
+{
+  const auto now = board_.Now();
+  const auto document = board_.node.Board().documents.Current();
+  const auto limit = document->FindCaller(aRequest->http.caller);
+  const std::lock_guard lock(board_.admission.mutex);
+  auto& admission = board_.admission;
+  const auto expected = std::chrono::duration_cast<TimePoint::duration>(
+    std::chrono::duration<double>(admission.slots.ServiceSeconds()));
+  if (aRequest->deadline <= now + expected / 2) {
+    return Refusal::DeadlineNear;
+  }
+  const auto refusal = admission.queue.Push({ aRequest->id,
+                                              aRequest->http.caller,
+                                              limit.weight,
+                                              aRequest->kind.priority,
+                                              aRequest->deadline,
+                                              now });
+  if (refusal == Refusal::None) {
+    admission.requests[aRequest->id] = aRequest;
+  }
+  return refusal;
+}
+
+auto RequestController::ClaimThenEnqueue(RequestPtr aRequest) -> Task<void>
+{
+  const auto document = board_.node.Board().documents.Current();
+  const auto* service = document->FindByAddress(aRequest->flow.address);
+  const KeyClaim claim{ service ? service->id : ServiceId{},
+                        aRequest->http.idempotencyKey,
+                        aRequest->http.caller,
+                        aRequest->attempt,
+                        aRequest->http.issuedMillis };
+  KeyClaimReply reply;
+  reply.result = ClaimResult::NotHome;
+  while (reply.result == ClaimResult::NotHome &&
+         board_.Now() < aRequest->deadline) {
+    for (const auto& home : board_.keys.Order(claim.caller, claim.key)) {
+      if (home == board_.node.Self()) {
+        reply = board_.keys.Claim(claim);
+      } else if (!board_.node.Board().members.IsDead(home)) {
+        const auto sent = board_.Now();
+        auto outcome = co_await board_.node.Call(home, claim, kClaimWindow);
+        const auto* answer = std::get_if<KeyClaimReply>(&outcome.message);
+        const bool late = board_.Now() - sent > kClaimWindow;
+        const bool told =
+          outcome.status == CallStatus::Replied && answer && !late;
+        if (told) {
+          reply = *answer;
+        }
+      }
+      if (reply.result != ClaimResult::NotHome) {
+        break;
+      }
+    }
+    if (reply.result == ClaimResult::NotHome) {
+      co_await board_.node.Sleep(kClaimRetry);
+    }
+  }
+  --inFlight_;
+  board_.Note("event=key_claimed request=" + aRequest->http.requestId +
+              " result=" + std::to_string(static_cast<int>(reply.result)));
+  if (reply.result == ClaimResult::Recorded) {
+    Finish(aRequest, Outcome::Answered, reply.answer, "recorded_answer");
+    co_return;
+  }
+  if (reply.result != ClaimResult::Granted) {
+    // An earlier attempt may have run.
+    GiveUp(aRequest, Outcome::Unknown, "key_not_granted");
+    co_return;
+  }
+  aRequest->claimed = true;
+  const auto refusal = Enqueue(aRequest);
+  if (refusal != Refusal::None) {
+    GiveUp(aRequest, Outcome::NotRun, ToText(refusal));
+    co_return;
+  }
+  Pump();
+}
+
+auto RequestController::TakeClaim(const KeyClaim& aClaim) -> KeyClaimReply
+{
+  if (!board_.node.IsCurrent()) {
+    return { ClaimResult::NotHome, {} };
+  }
+  return board_.keys.Claim(aClaim);
+}
+
+// A caller that holds more than its fair share of the slots leaves a reserve
+// to the others, so that they find a slot at once.
+auto RequestController::MayTakeSlot(
+  const std::string& aCaller,
+  const std::vector<Candidate>& aCandidates) const -> bool
+{
+  if (board_.admission.queue.CallerCount() < 2) {
+    return true;
+  }
+  double slots = 0;
+  double busy = 0;
+  for (const auto& candidate : aCandidates) {
+    if (candidate.usable) {
+      slots += candidate.limit;
+      busy += std::min(candidate.busy, candidate.limit);
+    }
+  }
+  const auto found = board_.admission.running.find(aCaller);
+  const double mine =
+    found == board_.admission.running.end() ? 0 : found->second;
+  const double others =
+    static_cast<double>(board_.admission.running.size()) + 1;
+  const double owners = static_cast<double>(aCandidates.size());
+  const bool heavy =
+    mine + 1 > std::max(slots / std::max(owners, 1.0) / others, 1.0);
+  return !heavy || slots - busy > slots * kReservedShare;
+}
+
+auto RequestController::NextDispatch() -> std::optional<Dispatch>
+{
+  const auto now = board_.Now();
+  const auto document = board_.node.Board().documents.Current();
+  const auto* service = board_.OwnService(*document);
+  if (!service || !board_.node.IsCurrent()) {
+    return std::nullopt;
+  }
+  std::vector<Ticket> expired;
+  std::optional<Dispatch> dispatch;
+  std::vector<RequestPtr> late;
+  {
+    const std::lock_guard lock(board_.admission.mutex);
+    auto& admission = board_.admission;
+    if (admission.queue.Size() == 0) {
+      return std::nullopt;
+    }
+    const auto candidates = board_.Candidates(*service);
+    const auto self = board_.node.Self();
+    const auto home = std::ranges::find(candidates, self, &Candidate::agent) -
+                      candidates.begin();
+    const auto chosen = board_.placement->PlaceRequest(
+      candidates, static_cast<std::size_t>(home));
+    if (chosen == Placement::kNone) {
+      return std::nullopt;
+    }
+    auto ticket = admission.queue.Pop(now, expired);
+    std::vector<Ticket> held;
+    while (ticket && !MayTakeSlot(ticket->caller, candidates)) {
+      held.push_back(std::move(*ticket));
+      ticket.reset();
+      if (held.size() < kMostHeldBack) {
+        ticket = admission.queue.Pop(now, expired);
+      }
+    }
+    for (auto& back : held) {
+      admission.queue.PushFront(std::move(back));
+    }
+    for (const auto& old : expired) {
+      late.push_back(admission.requests[old.id]);
+      admission.requests.erase(old.id);
+    }
+    if (ticket) {
+      const auto request = admission.requests[ticket->id];
+      admission.requests.erase(ticket->id);
+      ++admission.running[request->http.caller];
+      dispatch = { request, candidates[chosen].agent };
+      const std::lock_guard peerLock(board_.peers.mutex);
+      auto& peer = board_.peers.peers[dispatch->executor];
+      ++peer.dispatched;
+      peer.added += candidates[chosen].serviceSeconds /
+                    std::max(candidates[chosen].limit, 1U) /
+                    kUtilisationWindowSeconds;
+    }
+  }
+  for (const auto& request : late) {
+    GiveUp(request, Outcome::NotRun, "deadline_passed_in_queue");
+  }
+  return dispatch;
+}
+
+auto RequestController::ReleaseShare(const std::string& aCaller) -> void
+{
+  auto& running = board_.admission.running;
+  const auto found = running.find(aCaller);
+  if (found != running.end() && --found->second == 0) {
+    running.erase(found);
+  }
+}
+
+auto RequestController::Pump() -> void
+{
+  while (auto dispatch = NextDispatch()) {
+    // From here on the request counts as dispatched.
+    if (!SetPhase(*dispatch->request, FlowPhase::Running)) {
+      NoteLoad(dispatch->executor, {});
+      const std::lock_guard lock(board_.admission.mutex);
+      ReleaseShare(dispatch->request->http.caller);
+      continue;
+    }
+    ++inFlight_;
+    board_.node.Spawn(Run(std::move(*dispatch)));
+  }
+}
+
+auto RequestController::SetPhase(const Request& aRequest, FlowPhase aPhase)
+  -> bool
+{
+  auto& shard = board_.flows.ShardOf(aRequest.flow);
+  const std::lock_guard lock(shard.mutex);
+  const auto found = shard.flows.find(aRequest.flow);
+  const bool here = found != shard.flows.end() && found->second->request &&
+                    found->second->request->id == aRequest.id &&
+                    !found->second->frozen;
+  if (here) {
+    found->second->phase = aPhase;
+  }
+  return here;
+}
+
+auto RequestController::RunOnce(const Dispatch& aDispatch) -> Task<ExecuteReply>
+{
+  const auto& request = *aDispatch.request;
+  const auto document = board_.node.Board().documents.Current();
+  const auto* service = document->FindByAddress(request.flow.address);
+  if (!service) {
+    co_return ExecuteReply{ Outcome::NotRun, {}, {}, "service_gone" };
+  }
+  const auto left =
+    std::chrono::duration_cast<Millis>(request.deadline - board_.Now());
+  if (left <= Millis{ 0 }) {
+    co_return ExecuteReply{ Outcome::NotRun, {}, {}, "deadline_passed" };
+  }
+  ExecuteRequest execute;
+  execute.service = service->id;
+  // A try of its own for each dispatch; the claim covers them all.
+  execute.attempt = { Mix(request.attempt.high, HashOf(board_.node.Self())),
+                      Mix(request.attempt.low, request.tries) };
+  execute.kind = request.kind.name;
+  execute.repeatable = request.kind.repeatable ? 1 : 0;
+  execute.deadlineMillis = WallMillis(board_.node.Board().clock.Wall() + left);
+  execute.trace = board_.Trace(request.http.trace,
+                               "executor_chosen",
+                               "executor=" + ToText(aDispatch.executor));
+  execute.request = request.http.text;
+  if (aDispatch.executor == board_.node.Self()) {
+    co_return co_await executor_.Execute(std::move(execute));
+  }
+  auto outcome = co_await board_.node.Call(
+    aDispatch.executor, std::move(execute), left + Millis{ 50 });
+  if (auto* reply = std::get_if<ExecuteReply>(&outcome.message);
+      reply && outcome.status == CallStatus::Replied) {
+    co_return std::move(*reply);
+  }
+  if (outcome.status == CallStatus::Lost) {
+    co_return ExecuteReply{ Outcome::Unknown, {}, {}, "executor_lost" };
+  }
+  co_return ExecuteReply{ Outcome::NotRun, {}, {}, "executor_unreachable" };
+}
+
+auto RequestController::NoteLoad(const Endpoint& aExecutor,
+                                 const LoadReport& aLoad) -> void
+{
+  const std::lock_guard lock(board_.peers.mutex);
+  const auto found = board_.peers.peers.find(aExecutor);
+  if (found == board_.peers.peers.end()) {
+    return;
+  }
+  auto& peer = found->second;
+  peer.dispatched -= peer.dispatched > 0 ? 1 : 0;
+  if (aLoad.slots == 0 || aExecutor == board_.node.Self()) {
+    return;
+  }
+  peer.load = aLoad;
+  peer.at = board_.Now();
+  peer.added = 0;
+  peer.placed = 0;
+}
+
+auto RequestController::Run(Dispatch aDispatch) -> Task<void>
+{
+  const auto request = aDispatch.request;
+  const auto start = board_.Now();
+  const auto reply = co_await RunOnce(aDispatch);
+  const auto took = std::chrono::duration<double>(board_.Now() - start).count();
+  NoteLoad(aDispatch.executor, reply.load);
+  {
+    const std::lock_guard lock(board_.admission.mutex);
+    ReleaseShare(request->http.caller);
+    if (reply.outcome == Outcome::Answered) {
+      board_.admission.queue.Charge(request->http.caller, took);
+    }
+  }
+  board_.Note("event=request_ran request=" + request->http.requestId +
+              " executor=" + ToText(aDispatch.executor) +
+              " outcome=" + ToText(reply.outcome) + " cause=" + reply.cause);
+  ++request->tries;
+  if (reply.outcome == Outcome::Answered) {
+    Finish(request, Outcome::Answered, reply.answer, "ran");
+  } else if (MayRetry(*request, reply.outcome)) {
+    retries_.Increment();
+    const bool full = reply.cause == "no_slot" || reply.cause == "leaving";
+    co_await Retry(request,
+                   full && request->tries <= 2 ? Millis{ 1 }
+                                               : Backoff(request->tries));
+  } else {
+    GiveUp(request, reply.outcome, reply.cause);
+  }
+  --inFlight_;
+  Pump();
+}
+
+auto RequestController::MayRetry(const Request& aRequest, Outcome aOutcome)
+  -> bool
+{
+  const bool allowed =
+    aOutcome == Outcome::NotRun ||
+    (aOutcome == Outcome::Unknown && aRequest.kind.repeatable);
+  if (!allowed || board_.Now() >= aRequest.deadline) {
+    return false;
+  }
+  // What never reached a backend server costs it nothing.
+  if (aOutcome == Outcome::NotRun) {
+    return aRequest.tries < kMaxTries * 4;
+  }
+  if (aRequest.tries >= kMaxTries) {
+    return false;
+  }
+  const std::lock_guard lock(board_.admission.mutex);
+  if (board_.admission.retryTokens < 1) {
+    return false;
+  }
+  board_.admission.retryTokens -= 1;
+  return true;
+}
+
+auto RequestController::Backoff(std::uint32_t aTries) -> Millis
+{
+  const auto most =
+    std::min(kBackoffBase * (1U << std::min(aTries, 8U)), kBackoffMost);
+  const std::lock_guard lock(randomMutex_);
+  return Millis{ std::uniform_int_distribution<std::int64_t>(
+    most.count() / 2, most.count())(random_) };
+}
+
+auto RequestController::Retry(RequestPtr aRequest, Millis aBackoff)
+  -> Task<void>
+{
+  co_await board_.node.Sleep(aBackoff);
+  // Nothing of it runs any more: a handover may take it along again.
+  if (!SetPhase(*aRequest, FlowPhase::Waiting)) {
+    GiveUp(aRequest, Outcome::NotRun, "flow_gone");
+    co_return;
+  }
+  const auto refusal = Enqueue(aRequest);
+  if (refusal != Refusal::None) {
+    GiveUp(aRequest, Outcome::NotRun, ToText(refusal));
+  }
+}
+
+auto RequestController::TellHome(RequestPtr aRequest,
+                                 Outcome aOutcome,
+                                 std::string aText) -> Task<void>
+{
+  const auto document = board_.node.Board().documents.Current();
+  const auto* service = document->FindByAddress(aRequest->flow.address);
+  const KeyOutcome told{ service ? service->id : ServiceId{},
+                         aRequest->http.idempotencyKey,
+                         aRequest->http.caller,
+                         aRequest->attempt,
+                         aOutcome,
+                         std::move(aText) };
+  for (const auto& home : board_.keys.Order(told.caller, told.key)) {
+    if (home == board_.node.Self()) {
+      board_.keys.Finish(told);
+      co_return;
+    }
+    if (board_.node.Board().members.IsDead(home)) {
+      continue;
+    }
+    const auto outcome = co_await board_.node.Call(home, told, Millis{ 500 });
+    if (outcome.status == CallStatus::Replied) {
+      co_return;
+    }
+  }
+}
+
+auto RequestController::Finish(const RequestPtr& aRequest,
+                               Outcome aOutcome,
+                               std::string aText,
+                               std::string_view aCause) -> void
+{
+  auto& counter = aOutcome == Outcome::Answered ? answered_
+                  : aOutcome == Outcome::NotRun ? notRun_
+                                                : unknown_;
+  counter.Increment();
+  const auto took = board_.Now() - aRequest->arrived;
+  seconds_.Observe(std::chrono::duration<double>(took).count());
+  board_.Note("event=request_finished request=" + aRequest->http.requestId +
+              " outcome=" + ToText(aOutcome) + " cause=" + std::string(aCause));
+  board_.Trace(aRequest->http.trace,
+               "request",
+               std::string("outcome=") + ToText(aOutcome) +
+                 " cause=" + std::string(aCause),
+               std::chrono::duration_cast<std::chrono::microseconds>(took));
+  if (aRequest->claimed) {
+    board_.node.Spawn(TellHome(aRequest, aOutcome, aText));
+  }
+  board_.answers.Put({ aRequest->flow, aRequest->id, std::move(aText) });
+}
+
+auto RequestController::GiveUp(const RequestPtr& aRequest,
+                               Outcome aOutcome,
+                               std::string_view aCause) -> void
+{
+  const auto after =
+    aOutcome == Outcome::NotRun ? std::optional(kRetryAfter) : std::nullopt;
+  Finish(aRequest,
+         aOutcome,
+         MakeOutcomeAnswer(aOutcome, aRequest->http.requestId, aCause, after),
+         aCause);
+}
+
+auto RequestController::Tick() -> void
+{
+  std::vector<RequestPtr> late;
+  {
+    const std::lock_guard lock(board_.admission.mutex);
+    for (const auto& ticket :
+         board_.admission.queue.TakeExpired(board_.Now())) {
+      late.push_back(board_.admission.requests[ticket.id]);
+      board_.admission.requests.erase(ticket.id);
+    }
+  }
+  for (const auto& request : late) {
+    GiveUp(request, Outcome::NotRun, "deadline_passed_in_queue");
+  }
+  Pump();
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/agent/requests.h
@@ -0,0 +1,68 @@
+#pragma once
+
+// Admission, claims, dispatch to the own or a peer's backend server, retries
+// and final outcomes of requests that this agent's flows carry.
+
+#include "agent/board.h"
+#include "agent/executor.h"
+
+namespace damaskwalk {
+
+class RequestController
+{
+public:
+  RequestController(AgentBoard& aBoard, Executor& aExecutor);
+
+  // Key home's side.
+  auto TakeClaim(const KeyClaim& aClaim) -> KeyClaimReply;
+  // Drops what expired and dispatches what waits.
+  auto Tick() -> void;
+  auto InFlight() const -> std::size_t { return inFlight_; }
+
+private:
+  struct Dispatch
+  {
+    RequestPtr request;
+    Endpoint executor;
+  };
+
+  auto TakeSubmitted(std::vector<RequestPtr> aRequests) -> void;
+  auto Admit(const RequestPtr& aRequest) -> void;
+  auto Enqueue(const RequestPtr& aRequest) -> Refusal;
+  auto ClaimThenEnqueue(RequestPtr aRequest) -> Task<void>;
+  auto Pump() -> void;
+  auto NextDispatch() -> std::optional<Dispatch>;
+  auto MayTakeSlot(const std::string& aCaller,
+                   const std::vector<Candidate>& aCandidates) const -> bool;
+  // Wants admission.mutex.
+  auto ReleaseShare(const std::string& aCaller) -> void;
+  auto Run(Dispatch aDispatch) -> Task<void>;
+  auto RunOnce(const Dispatch& aDispatch) -> Task<ExecuteReply>;
+  auto Retry(RequestPtr aRequest, Millis aBackoff) -> Task<void>;
+  auto MayRetry(const Request& aRequest, Outcome aOutcome) -> bool;
+  auto Backoff(std::uint32_t aTries) -> Millis;
+  auto Finish(const RequestPtr& aRequest,
+              Outcome aOutcome,
+              std::string aText,
+              std::string_view aCause) -> void;
+  auto GiveUp(const RequestPtr& aRequest,
+              Outcome aOutcome,
+              std::string_view aCause) -> void;
+  auto TellHome(RequestPtr aRequest, Outcome aOutcome, std::string aText)
+    -> Task<void>;
+  auto SetPhase(const Request& aRequest, FlowPhase aPhase) -> bool;
+  auto NoteLoad(const Endpoint& aExecutor, const LoadReport& aLoad) -> void;
+
+  AgentBoard& board_;
+  Executor& executor_;
+  std::atomic<std::size_t> inFlight_{ 0 };
+  std::mutex randomMutex_;
+  std::mt19937_64 random_;
+  prometheus::Counter& answered_;
+  prometheus::Counter& notRun_;
+  prometheus::Counter& unknown_;
+  prometheus::Counter& retries_;
+  prometheus::Histogram& seconds_;
+};
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/balancer/balancer.cpp
@@ -0,0 +1,262 @@
+#include "balancer/balancer.h"
+
+#include "core/rendezvous.h"
+
+#include <boost/json.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+namespace damaskwalk {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr double kFirstPacketBurstSeconds = 0.5;
+constexpr Millis kLastPackets{ 300 };
+
+} // namespace
+
+Router::Router(const BalancerSettings& aSettings, const Membership& aMembers)
+  : settings_(aSettings)
+  , members_(aMembers)
+  , hints_(aSettings.hintCapacity)
+  , tags_(std::make_shared<const Tags>())
+{
+}
+
+auto Router::SetDocument(const Document& aDocument) -> void
+{
+  auto tags = std::make_shared<Tags>();
+  for (const auto& service : aDocument.services) {
+    auto& list = (*tags)[service.id];
+    for (const auto& backend : service.backends) {
+      list.push_back({ OwnerTag(backend.agent), backend.agent });
+    }
+  }
+  const std::lock_guard lock(tagsMutex_);
+  tags_ = std::move(tags);
+}
+
+auto Router::ByToken(const Service& aService, std::uint32_t aTag) const
+  -> Endpoint
+{
+  std::shared_ptr<const Tags> tags;
+  {
+    const std::lock_guard lock(tagsMutex_);
+    tags = tags_;
+  }
+  const auto list = tags->find(aService.id);
+  if (list == tags->end()) {
+    return {};
+  }
+  Endpoint agent;
+  for (const auto& tagged : list->second) {
+    if (tagged.tag != aTag) {
+      continue;
+    }
+    if (agent.IsValid()) {
+      return {}; // two agents share the tag
+    }
+    agent = tagged.agent;
+  }
+  return agent;
+}
+
+auto Router::Decide(const Service& aService, const Frame& aFrame) -> Route
+{
+  const auto flow = FlowOf(aFrame);
+  const bool first = aFrame.Has(flag::kSyn);
+  const auto runs = [this](const Endpoint& aAgent) {
+    const auto state = members_.StateOf(aAgent);
+    return state != MemberState::Dead && state != MemberState::Paused;
+  };
+  if (settings_.tokens && !first && aFrame.stampEcho != 0) {
+    const auto agent = ByToken(aService, aFrame.stampEcho & 0xFFFF);
+    if (agent.IsValid() && runs(agent)) {
+      return { agent, PacketStage::Hinted, "token" };
+    }
+  }
+  if (settings_.hints && !first) {
+    const auto agent = hints_.Find(flow);
+    if (agent.IsValid() && runs(agent)) {
+      return { agent, PacketStage::Hinted, "hint" };
+    }
+  }
+  const auto key = HashOf(flow);
+  Endpoint best;
+  std::uint64_t bestWeight = 0;
+  for (const auto& backend : aService.backends) {
+    const auto weight = RendezvousWeight(key, backend.agent);
+    if ((!best.IsValid() || weight > bestWeight) && runs(backend.agent)) {
+      best = backend.agent;
+      bestWeight = weight;
+    }
+  }
+  return { best, PacketStage::Entry, "directory" };
+}
+
+Balancer::Balancer(Node& aNode, const BalancerSettings& aSettings)
+  : node_(aNode)
+  , settings_(aSettings)
+  , router_(aSettings, aNode.Board().members)
+  , packets_(aNode.Meter().Counter("damaskwalk_packets_total",
+                                   "Packets from the fabric"))
+  , hinted_(aNode.Meter().Counter("damaskwalk_packets_hinted_total",
+                                  "Packets sent by a hint"))
+  , token_(aNode.Meter().Counter("damaskwalk_packets_token_total",
+                                 "Packets sent by the caller's token"))
+  , noService_(aNode.Meter().Counter("damaskwalk_packets_no_service_total",
+                                     "Packets to an address of no service"))
+  , limited_(aNode.Meter().Counter("damaskwalk_first_packets_limited_total",
+                                   "First packets over the service's limit"))
+{
+}
+
+auto Balancer::OnFrame(std::string_view aBytes) -> void
+{
+  leaf::try_handle_all(
+    [&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(frame, DecodeFrame(aBytes));
+      Forward(frame, aBytes);
+      return {};
+    },
+    [this] { noService_.Increment(); });
+}
+
+auto Balancer::AdmitFirst(const Service& aService) -> bool
+{
+  const auto now = node_.Board().clock.Now();
+  const double rate = aService.firstPacketsPerSecond;
+  const std::lock_guard lock(firstMutex_);
+  const auto [found, fresh] = first_.try_emplace(aService.id);
+  auto& first = found->second;
+  const auto span = std::chrono::duration<double>(now - first.filled).count();
+  const auto burst = std::max(rate * kFirstPacketBurstSeconds, 1.0);
+  first.tokens = fresh ? burst : std::min(first.tokens + span * rate, burst);
+  first.filled = now;
+  if (first.tokens < 1) {
+    return false;
+  }
+  first.tokens -= 1;
+  return true;
+}
+
+auto Balancer::Forward(const Frame& aFrame, std::string_view aBytes) -> void
+{
+  packets_.Increment();
+  const auto document = node_.Board().documents.Current();
+  const auto* service = document->FindByAddress(aFrame.destination);
+  const bool first = aFrame.Has(flag::kSyn);
+  const bool early =
+    first && (!node_.IsCurrent() ||
+              node_.Board().documents.IsQuarantined(aFrame.destination));
+  if (!service || early) {
+    noService_.Increment();
+    return;
+  }
+  if (first && !AdmitFirst(*service)) {
+    limited_.Increment();
+    return;
+  }
+  const auto route = router_.Decide(*service, aFrame);
+  if (!route.agent.IsValid()) {
+    noService_.Increment();
+    return;
+  }
+  if (route.stage == PacketStage::Hinted) {
+    (route.cause[0] == 't' ? token_ : hinted_).Increment();
+  }
+  PacketForward packet;
+  packet.service = service->id;
+  packet.stage = route.stage;
+  packet.hops = 1;
+  // A flow whose token works needs no hint.
+  const bool wantsHint =
+    settings_.hints && !(settings_.tokens && aFrame.stampEcho != 0) && !first;
+  if (wantsHint || route.stage == PacketStage::Hinted) {
+    packet.balancer = node_.Self();
+  }
+  packet.frame = std::string(aBytes);
+  if (aFrame.trace.IsSampled()) {
+    const auto context = node_.Traces().Record(
+      { "balancer",
+        aFrame.trace,
+        node_.Board().clock.Wall(),
+        {},
+        std::string("by=") + route.cause + " agent=" + ToText(route.agent) });
+    auto marked = aFrame;
+    marked.trace = context;
+    packet.frame = EncodeFrame(marked);
+  }
+  node_.Send(route.agent, packet);
+}
+
+auto Balancer::OnMessage(const Letter& aLetter) -> void
+{
+  const auto& message = aLetter.message;
+  if (const auto* hint = std::get_if<FlowHint>(&message)) {
+    if (hint->owner.IsValid()) {
+      router_.Hints().Set(hint->flow, hint->owner);
+    } else {
+      router_.Hints().Drop(hint->flow);
+    }
+  } else if (const auto* wrong = std::get_if<WrongService>(&message)) {
+    router_.Hints().Drop(wrong->flow);
+  } else if (const auto* beat = std::get_if<Heartbeat>(&message)) {
+    node_.Board().members.Merge(beat->facts);
+  }
+}
+
+auto Balancer::OnCall(Letter) -> Task<Message>
+{
+  co_return TextReply{};
+}
+
+auto Balancer::OnDocument(DocumentPtr, DocumentPtr aNow) -> void
+{
+  router_.SetDocument(*aNow);
+}
+
+auto Balancer::OnMembers(const std::vector<MemberChange>& aChanges) -> void
+{
+  for (const auto& change : aChanges) {
+    if (change.to == MemberState::Dead || change.restarted) {
+      router_.Hints().DropOwner(change.member);
+    }
+  }
+}
+
+auto Balancer::Status() const -> boost::json::object
+{
+  boost::json::object status;
+  status["role"] = "balancer";
+  status["hints"] = router_.Hints().Size();
+  status["packets"] = packets_.Value();
+  status["packets_hinted"] = hinted_.Value();
+  status["packets_token"] = token_.Value();
+  return status;
+}
+
+auto Balancer::Explain(const ExplainQuery& aQuery) const -> boost::json::object
+{
+  boost::json::object answer;
+  answer["address"] = ToText(node_.Self());
+  const auto flow = ParseFlowKey(aQuery.flow);
+  if (!flow) {
+    return answer;
+  }
+  const auto document = node_.Board().documents.Current();
+  const auto* service = document->FindByAddress(flow->address);
+  answer["service"] = service ? service->name : "";
+  const auto hint = router_.Hints().Find(*flow);
+  answer["hint"] = hint.IsValid() ? ToText(hint) : "";
+  return answer;
+}
+
+auto Balancer::Drain() -> Task<void>
+{
+  // The fabric still sends here for a moment after the VM is listed as gone.
+  co_await node_.Sleep(kLastPackets);
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/balancer/balancer.h
@@ -0,0 +1,85 @@
+#pragma once
+
+// The role on entry VMs: passes each packet to an agent of its service.
+
+#include "core/flow_table.h"
+#include "runtime/node.h"
+
+namespace damaskwalk {
+
+// Where a packet goes and why.
+struct Route
+{
+  Endpoint agent;
+  PacketStage stage = PacketStage::Entry;
+  const char* cause = "";
+};
+
+// The balancer's decision: the flow's hint, the caller's token, or rendezvous
+// over the service's published targets. Thread safe.
+class Router
+{
+public:
+  Router(const BalancerSettings& aSettings, const Membership& aMembers);
+
+  auto Decide(const Service& aService, const Frame& aFrame) -> Route;
+  // Builds what Decide looks up for a document.
+  auto SetDocument(const Document& aDocument) -> void;
+  auto Hints() -> HintTable& { return hints_; }
+  auto Hints() const -> const HintTable& { return hints_; }
+
+private:
+  struct Tagged
+  {
+    std::uint32_t tag = 0;
+    Endpoint agent;
+  };
+  using Tags = std::unordered_map<ServiceId, std::vector<Tagged>, KeyHash>;
+
+  auto ByToken(const Service& aService, std::uint32_t aTag) const -> Endpoint;
+
+  BalancerSettings settings_;
+  const Membership& members_;
+  HintTable hints_;
+  std::shared_ptr<const Tags> tags_;
+  mutable std::mutex tagsMutex_;
+};
+
+class Balancer final : public NodeRole
+{
+public:
+  Balancer(Node& aNode, const BalancerSettings& aSettings);
+
+  auto OnFrame(std::string_view aBytes) -> void override;
+  auto OnMessage(const Letter& aLetter) -> void override;
+  auto OnCall(Letter aLetter) -> Task<Message> override;
+  auto OnTick() -> void override {}
+  auto OnDocument(DocumentPtr aBefore, DocumentPtr aNow) -> void override;
+  auto OnMembers(const std::vector<MemberChange>& aChanges) -> void override;
+  auto Status() const -> boost::json::object override;
+  auto Explain(const ExplainQuery& aQuery) const
+    -> boost::json::object override;
+  auto Drain() -> Task<void> override;
+
+private:
+  struct FirstPackets
+  {
+    double tokens = 0;
+    TimePoint filled;
+  };
+  auto Forward(const Frame& aFrame, std::string_view aBytes) -> void;
+  auto AdmitFirst(const Service& aService) -> bool;
+
+  Node& node_;
+  BalancerSettings settings_;
+  Router router_;
+  std::mutex firstMutex_;
+  std::unordered_map<ServiceId, FirstPackets, KeyHash> first_;
+  prometheus::Counter& packets_;
+  prometheus::Counter& hinted_;
+  prometheus::Counter& token_;
+  prometheus::Counter& noService_;
+  prometheus::Counter& limited_;
+};
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/core/admission.cpp
@@ -0,0 +1,379 @@
+#include "core/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace damaskwalk {
+
+namespace {
+
+constexpr double kSmoothing = 0.1;
+constexpr double kUtilisationWindowSeconds = 4.0;
+constexpr double kBadShareUnfit = 0.5;
+constexpr Millis kUnfitRetry{ 2000 };
+constexpr double kRateBurstSeconds = 0.5;
+constexpr double kDemandWindowSeconds = 1.0;
+constexpr std::size_t kMaxRateCallers = 20000;
+constexpr std::size_t kMaxIdleCallers = 20000;
+
+auto Seconds(TimePoint::duration aSpan) -> double
+{
+  return std::chrono::duration<double>(aSpan).count();
+}
+
+} // namespace
+
+auto ToText(Refusal aRefusal) -> const char*
+{
+  switch (aRefusal) {
+    case Refusal::QueueFull:
+      return "queue_full";
+    case Refusal::CallerQueueFull:
+      return "caller_queue_full";
+    case Refusal::DeadlineNear:
+      return "deadline_near";
+    case Refusal::RateExceeded:
+      return "rate_exceeded";
+    default:
+      return "none";
+  }
+}
+
+FairQueue::FairQueue(const FairQueueInit& aInit)
+  : init_(aInit)
+{
+}
+
+auto FairQueue::Activate(const QueuePtr& aQueue) -> void
+{
+  if (!aQueue->queued) {
+    aQueue->queued = true;
+    aQueue->deficit = std::min(aQueue->deficit, 0.0);
+    ring_.push_back(aQueue);
+    ++active_;
+  }
+}
+
+auto FairQueue::Push(Ticket aTicket) -> Refusal
+{
+  if (size_ >= init_.maxTickets) {
+    return Refusal::QueueFull;
+  }
+  auto& queue = queues_[aTicket.caller];
+  if (!queue) {
+    queue = std::make_shared<Queue>();
+    queue->caller = aTicket.caller;
+  }
+  if (queue->size >= init_.maxPerCaller) {
+    return Refusal::CallerQueueFull;
+  }
+  queue->weight = std::max(aTicket.weight, 1U);
+  callerOf_[aTicket.id] = aTicket.caller;
+  const auto level = std::min<std::size_t>(aTicket.priority, kPriorities - 1);
+  queue->tickets[level].push_back(std::move(aTicket));
+  ++queue->size;
+  ++size_;
+  Activate(queue);
+  return Refusal::None;
+}
+
+auto FairQueue::PushFront(Ticket aTicket) -> void
+{
+  auto& queue = queues_[aTicket.caller];
+  if (!queue) {
+    queue = std::make_shared<Queue>();
+    queue->caller = aTicket.caller;
+  }
+  callerOf_[aTicket.id] = aTicket.caller;
+  queue->deficit += queue->meanCost;
+  const auto level = std::min<std::size_t>(aTicket.priority, kPriorities - 1);
+  queue->tickets[level].push_front(std::move(aTicket));
+  ++queue->size;
+  ++size_;
+  if (!queue->queued) {
+    queue->queued = true;
+    ring_.push_front(queue);
+    ++active_;
+  }
+}
+
+auto FairQueue::PickLevel(Queue& aQueue) -> std::size_t
+{
+  auto best = kPriorities;
+  for (std::size_t level = 0; level < kPriorities; ++level) {
+    if (aQueue.tickets[level].empty()) {
+      aQueue.debt[level] = 0;
+      continue;
+    }
+    if (best == kPriorities || aQueue.debt[level] < aQueue.debt[best]) {
+      best = level;
+    }
+  }
+  aQueue.debt[best] += static_cast<double>(1U << best);
+  return best;
+}
+
+auto FairQueue::TakeFrom(Queue& aQueue) -> Ticket
+{
+  const auto level = PickLevel(aQueue);
+  auto ticket = std::move(aQueue.tickets[level].front());
+  aQueue.tickets[level].pop_front();
+  --aQueue.size;
+  --size_;
+  callerOf_.erase(ticket.id);
+  return ticket;
+}
+
+auto FairQueue::Retire(const QueuePtr& aQueue) -> void
+{
+  aQueue->queued = false;
+  --active_;
+  if (queues_.size() > kMaxIdleCallers) {
+    queues_.erase(aQueue->caller);
+  }
+}
+
+auto FairQueue::Pop(TimePoint aNow, std::vector<Ticket>& aExpired)
+  -> std::optional<Ticket>
+{
+  while (!ring_.empty()) {
+    auto queue = ring_.front();
+    if (queue->size == 0) {
+      ring_.pop_front();
+      Retire(queue);
+      continue;
+    }
+    if (queue->deficit <= 0) {
+      queue->deficit += queue->weight;
+      ring_.pop_front();
+      ring_.push_back(std::move(queue));
+      continue;
+    }
+    auto ticket = TakeFrom(*queue);
+    if (ticket.deadline <= aNow) {
+      aExpired.push_back(std::move(ticket));
+      continue;
+    }
+    queue->deficit -= queue->meanCost;
+    return ticket;
+  }
+  return std::nullopt;
+}
+
+auto FairQueue::TakeExpired(TimePoint aNow) -> std::vector<Ticket>
+{
+  std::vector<Ticket> expired;
+  for (auto& [caller, queue] : queues_) {
+    for (auto& tickets : queue->tickets) {
+      for (auto entry = tickets.begin(); entry != tickets.end();) {
+        if (entry->deadline > aNow) {
+          ++entry;
+          continue;
+        }
+        callerOf_.erase(entry->id);
+        expired.push_back(std::move(*entry));
+        entry = tickets.erase(entry);
+        --queue->size;
+        --size_;
+      }
+    }
+  }
+  return expired;
+}
+
+auto FairQueue::Remove(std::uint64_t aId) -> bool
+{
+  const auto caller = callerOf_.find(aId);
+  if (caller == callerOf_.end()) {
+    return false;
+  }
+  auto& queue = *queues_[caller->second];
+  callerOf_.erase(caller);
+  for (auto& tickets : queue.tickets) {
+    const auto found = std::ranges::find(tickets, aId, &Ticket::id);
+    if (found != tickets.end()) {
+      tickets.erase(found);
+      --queue.size;
+      --size_;
+      return true;
+    }
+  }
+  return false;
+}
+
+auto FairQueue::Charge(const std::string& aCaller, double aSlotSeconds) -> void
+{
+  meanSeconds_ += kSmoothing * (aSlotSeconds - meanSeconds_);
+  const auto found = queues_.find(aCaller);
+  if (found == queues_.end() || meanSeconds_ <= 0) {
+    return;
+  }
+  auto& cost = found->second->meanCost;
+  cost += kSmoothing * (aSlotSeconds / meanSeconds_ - cost);
+  cost = std::clamp(cost, 0.1, 10.0);
+}
+
+SlotGauge::SlotGauge(std::uint32_t aSlots, TimePoint aNow)
+  : slots_(aSlots)
+  , integrated_(aNow)
+{
+}
+
+auto SlotGauge::SetSlots(std::uint32_t aSlots) -> void
+{
+  slots_ = aSlots;
+}
+
+auto SlotGauge::Limit() const -> std::uint32_t
+{
+  const auto whole = static_cast<std::uint32_t>(std::floor(limit_));
+  return std::clamp(whole, 1U, slots_);
+}
+
+auto SlotGauge::Integrate(TimePoint aNow) const -> void
+{
+  const auto span = Seconds(aNow - integrated_);
+  if (span <= 0) {
+    return;
+  }
+  const auto keep = std::exp(-span / kUtilisationWindowSeconds);
+  const auto share = static_cast<double>(busy_) / slots_;
+  utilisation_ = utilisation_ * keep + share * (1 - keep);
+  integrated_ = aNow;
+}
+
+auto SlotGauge::Utilisation(TimePoint aNow) const -> double
+{
+  Integrate(aNow);
+  return utilisation_;
+}
+
+auto SlotGauge::TryAcquire(TimePoint aNow) -> bool
+{
+  Integrate(aNow);
+  if (busy_ >= Limit()) {
+    return false;
+  }
+  ++busy_;
+  return true;
+}
+
+auto SlotGauge::Release(TimePoint aNow) -> void
+{
+  Integrate(aNow);
+  busy_ -= busy_ > 0 ? 1 : 0;
+}
+
+auto SlotGauge::Completed(Millis aTook, bool aGood) -> void
+{
+  badShare_ += kSmoothing * ((aGood ? 0.0 : 1.0) - badShare_);
+  if (!aGood) {
+    lastBad_ = integrated_;
+    return;
+  }
+  const auto took = std::chrono::duration<double>(aTook).count();
+  serviceSeconds_ += kSmoothing * (took - serviceSeconds_);
+  limit_ = std::min(limit_ + 1.0 / Limit(), static_cast<double>(slots_));
+}
+
+auto SlotGauge::Shed() -> void
+{
+  limit_ = std::max(limit_ / 2, 1.0);
+}
+
+auto SlotGauge::ColdStart() -> void
+{
+  limit_ = 1;
+  badShare_ = 0;
+}
+
+auto SlotGauge::IsFit(TimePoint aNow) const -> bool
+{
+  return badShare_ < kBadShareUnfit || aNow - lastBad_ > kUnfitRetry;
+}
+
+RateShare::RateShare(std::size_t aHeaviest)
+  : heaviest_(aHeaviest)
+{
+}
+
+auto RateShare::OtherDemand(std::uint64_t aCaller, TimePoint aNow) const
+  -> double
+{
+  double demand = 0;
+  for (const auto& [peer, report] : reports_) {
+    const auto found = report.rates.find(aCaller);
+    if (found != report.rates.end() && aNow - report.at < kDeadAfter) {
+      demand += found->second;
+    }
+  }
+  return demand;
+}
+
+auto RateShare::Admit(const std::string& aCaller,
+                      std::uint32_t aRate,
+                      TimePoint aNow) -> bool
+{
+  if (aRate == 0) {
+    return true;
+  }
+  if (callers_.size() >= kMaxRateCallers) {
+    std::erase_if(callers_, [aNow](const auto& aEntry) {
+      return aNow - aEntry.second.counted > std::chrono::seconds(10);
+    });
+  }
+  const auto id = HashText(aCaller);
+  const auto [found, fresh] = callers_.try_emplace(id);
+  auto& caller = found->second;
+  if (fresh) {
+    caller.filled = aNow;
+    caller.counted = aNow;
+    caller.tokens = aRate * kRateBurstSeconds;
+  }
+  caller.limited = true;
+  const auto gap = Seconds(aNow - caller.counted);
+  caller.demand = caller.demand * std::exp(-gap / kDemandWindowSeconds) +
+                  1.0 / kDemandWindowSeconds;
+  caller.counted = aNow;
+  const auto others = OtherDemand(id, aNow);
+  const auto share = caller.demand / (caller.demand + others);
+  const auto rate = aRate * share;
+  const auto burst = std::max(rate * kRateBurstSeconds, 1.0);
+  caller.tokens =
+    std::min(caller.tokens + rate * Seconds(aNow - caller.filled), burst);
+  caller.filled = aNow;
+  if (caller.tokens < 1) {
+    return false;
+  }
+  caller.tokens -= 1;
+  return true;
+}
+
+auto RateShare::TakeReport(const Endpoint& aPeer,
+                           const std::vector<CallerRate>& aRates,
+                           TimePoint aNow) -> void
+{
+  auto& report = reports_[aPeer];
+  report.at = aNow;
+  report.rates.clear();
+  for (const auto& rate : aRates) {
+    report.rates[rate.caller] = rate.perSecond;
+  }
+}
+
+auto RateShare::Heaviest(TimePoint aNow) -> std::vector<CallerRate>
+{
+  std::vector<CallerRate> rates;
+  for (const auto& [id, caller] : callers_) {
+    const auto gap = Seconds(aNow - caller.counted);
+    const auto demand = caller.demand * std::exp(-gap / kDemandWindowSeconds);
+    if (demand >= 1) {
+      rates.push_back({ id, static_cast<std::uint32_t>(std::lround(demand)) });
+    }
+  }
+  std::ranges::sort(rates, std::greater{}, &CallerRate::perSecond);
+  rates.resize(std::min(rates.size(), heaviest_));
+  return rates;
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/core/config.h
@@ -0,0 +1,81 @@
+#pragma once
+
+// Compile-time limits. Each can be overridden on the compiler's command line
+// with -D; the value bounds memory or bytes that an input can make us use.
+
+#include <chrono>
+#include <cstddef>
+
+#ifndef DAMASKWALK_MAX_DATAGRAM_BYTES
+#define DAMASKWALK_MAX_DATAGRAM_BYTES 8192
+#endif
+#ifndef DAMASKWALK_MAX_BULK_BYTES
+#define DAMASKWALK_MAX_BULK_BYTES (4 * 1024 * 1024)
+#endif
+#ifndef DAMASKWALK_MAX_SEGMENT_BYTES
+#define DAMASKWALK_MAX_SEGMENT_BYTES 1400
+#endif
+#ifndef DAMASKWALK_MAX_REQUEST_BYTES
+#define DAMASKWALK_MAX_REQUEST_BYTES (64 * 1024)
+#endif
+#ifndef DAMASKWALK_MAX_ANSWER_BYTES
+#define DAMASKWALK_MAX_ANSWER_BYTES (1024 * 1024)
+#endif
+#ifndef DAMASKWALK_FLOW_SHARDS
+#define DAMASKWALK_FLOW_SHARDS 16
+#endif
+#ifndef DAMASKWALK_MAX_HINTS
+#define DAMASKWALK_MAX_HINTS (1u << 20)
+#endif
+#ifndef DAMASKWALK_MAX_KEY_RECORDS
+#define DAMASKWALK_MAX_KEY_RECORDS 100000
+#endif
+#ifndef DAMASKWALK_MAX_MEMBERS
+#define DAMASKWALK_MAX_MEMBERS 32768
+#endif
+#ifndef DAMASKWALK_MAX_JOURNAL_EVENTS
+#define DAMASKWALK_MAX_JOURNAL_EVENTS 4096
+#endif
+
+namespace damaskwalk {
+
+constexpr std::size_t kMaxDatagramBytes = DAMASKWALK_MAX_DATAGRAM_BYTES;
+constexpr std::size_t kMaxBulkBytes = DAMASKWALK_MAX_BULK_BYTES;
+constexpr std::size_t kMaxSegmentBytes = DAMASKWALK_MAX_SEGMENT_BYTES;
+constexpr std::size_t kMaxRequestBytes = DAMASKWALK_MAX_REQUEST_BYTES;
+constexpr std::size_t kMaxAnswerBytes = DAMASKWALK_MAX_ANSWER_BYTES;
+constexpr std::size_t kFlowShards = DAMASKWALK_FLOW_SHARDS;
+constexpr std::size_t kMaxHints = DAMASKWALK_MAX_HINTS;
+constexpr std::size_t kMaxKeyRecords = DAMASKWALK_MAX_KEY_RECORDS;
+constexpr std::size_t kMaxMembers = DAMASKWALK_MAX_MEMBERS;
+constexpr std::size_t kMaxJournalEvents = DAMASKWALK_MAX_JOURNAL_EVENTS;
+
+// Longest text of a name, key or path in any message.
+constexpr std::size_t kMaxNameBytes = 256;
+// Most entries of a list in one message.
+constexpr std::size_t kMaxListEntries = 4096;
+
+// Flow directory and recovery.
+constexpr std::chrono::milliseconds kEmbryoTimeout{ 3000 };
+constexpr std::chrono::milliseconds kLookupTimeout{ 300 };
+constexpr std::chrono::milliseconds kLookupGiveUp{ 1500 };
+constexpr std::size_t kMaxHeldPackets = 4096;
+
+// Liveness. kDeadAfter must exceed kKeyLease so that a key home that lost its
+// role has stopped granting before another one starts.
+constexpr std::chrono::milliseconds kHeartbeatPeriod{ 500 };
+constexpr std::chrono::milliseconds kSuspectAfter{ 1100 };
+constexpr std::chrono::milliseconds kDeadAfter{ 1700 };
+constexpr std::chrono::milliseconds kPausedGrace{ 10000 };
+constexpr std::chrono::milliseconds kKeyLease{ 1400 };
+
+// A process that did not run for this long re-reads before it acts.
+constexpr std::chrono::milliseconds kPauseGap{ 400 };
+
+// An address that moved between services is served by nobody for this long.
+constexpr std::chrono::milliseconds kAddressQuarantine{ 2000 };
+
+// Finished idempotency keys are kept this long; older issue times are refused.
+constexpr std::chrono::minutes kKeyRetention{ 10 };
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/core/journal.h
@@ -0,0 +1,62 @@
+#pragma once
+
+// The last events of this process, kept in memory so that `explain` can say
+// what was decided and why.
+
+#include "core/clock.h"
+#include "core/config.h"
+
+#include <deque>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace damaskwalk {
+
+struct JournalEvent
+{
+  std::int64_t wallMillis = 0;
+  // key=value pairs, as in the logs.
+  std::string text;
+};
+
+// A bounded ring. Thread safe.
+class Journal
+{
+public:
+  explicit Journal(const Clock& aClock)
+    : clock_(aClock)
+  {
+  }
+
+  auto Add(std::string aText) -> void
+  {
+    const std::lock_guard lock(mutex_);
+    events_.push_back({ WallMillis(clock_.Wall()), std::move(aText) });
+    if (events_.size() > kMaxJournalEvents) {
+      events_.pop_front();
+    }
+  }
+
+  // Events whose text contains the words.
+  auto Find(const std::string& aWords, std::size_t aMost) const
+    -> std::vector<JournalEvent>
+  {
+    const std::lock_guard lock(mutex_);
+    std::vector<JournalEvent> found;
+    for (const auto& event : events_) {
+      if (found.size() < aMost &&
+          event.text.find(aWords) != std::string::npos) {
+        found.push_back(event);
+      }
+    }
+    return found;
+  }
+
+private:
+  const Clock& clock_;
+  mutable std::mutex mutex_;
+  std::deque<JournalEvent> events_;
+};
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/core/key_home.cpp
@@ -0,0 +1,494 @@
+#include "core/key_home.h"
+
+#include "core/rendezvous.h"
+
+#include <algorithm>
+
+namespace damaskwalk {
+
+namespace {
+
+constexpr std::size_t kSendTimesKept = 32;
+// Nobody takes a role over within this time after the holder's lease ended.
+constexpr Millis kTakeoverMargin = kDeadAfter - kKeyLease;
+
+auto IdOf(const std::string& aCaller, const std::string& aKey) -> std::string
+{
+  return aCaller + "|" + aKey;
+}
+
+} // namespace
+
+KeyHome::KeyHome(const KeyHomeInit& aInit, const Clock& aClock)
+  : init_(aInit)
+  , clock_(aClock)
+{
+}
+
+auto KeyHome::Order(const std::string& aCaller, const std::string& aKey) const
+  -> std::vector<Endpoint>
+{
+  const std::lock_guard lock(mutex_);
+  return RendezvousOrder(HashText(IdOf(aCaller, aKey)), targets_);
+}
+
+auto KeyHome::TargetsDigest() const -> std::uint64_t
+{
+  const std::lock_guard lock(mutex_);
+  return digest_;
+}
+
+auto KeyHome::SetTargets(const std::vector<Endpoint>& aTargets) -> void
+{
+  const std::lock_guard lock(mutex_);
+  std::uint64_t digest = 1;
+  for (const auto& target : aTargets) {
+    digest += Mix(HashOf(target), 7);
+  }
+  if (digest == digest_) {
+    return;
+  }
+  const auto now = clock_.Now();
+  RefreshLease(now);
+  const bool first = targets_.empty();
+  const bool settled = pulls_.empty();
+  heldAtSwitch_ = !first && now <= leaseUntil_ + kTakeoverMargin;
+  for (const auto& [home, since] : inherited_) {
+    ownSince_ = std::max(ownSince_, since);
+  }
+  for (const auto& [target, since] : takenOver_) {
+    ownSince_ = std::max(ownSince_, since);
+  }
+  if (!settled) {
+    // The role under the former set was never complete.
+    ownSince_ = WallMillis(clock_.Wall()) + kKeyLease.count();
+  }
+  formerTargets_ = targets_;
+  targets_ = aTargets;
+  digest_ = digest;
+  inherited_.clear();
+  takenOver_.clear();
+  pulls_.clear();
+  switched_.clear();
+  resigned_.clear();
+  switchedSince_ = 0;
+  for (const auto& former : formerTargets_) {
+    if (former != init_.self) {
+      pulls_.insert(former);
+    }
+  }
+  std::erase_if(peers_, [this](const auto& aEntry) {
+    return std::ranges::find(targets_, aEntry.first) == targets_.end();
+  });
+  for (const auto& target : targets_) {
+    if (target == init_.self) {
+      continue;
+    }
+    const auto [found, fresh] = peers_.try_emplace(target);
+    found->second.ackedUntil = {};
+    found->second.reportUntil = {};
+    if (fresh) {
+      found->second.heardAt = now;
+    }
+  }
+}
+
+auto KeyHome::BeginHeartbeat() -> std::uint64_t
+{
+  const std::lock_guard lock(mutex_);
+  RefreshLease(clock_.Now());
+  sentAt_.push_back(clock_.Now());
+  if (sentAt_.size() > kSendTimesKept) {
+    sentAt_.pop_front();
+  }
+  return ++sequence_;
+}
+
+auto KeyHome::HeardList() -> std::vector<PeerAck>
+{
+  const std::lock_guard lock(mutex_);
+  const auto now = clock_.Now();
+  std::vector<PeerAck> heard;
+  for (auto& [endpoint, peer] : peers_) {
+    const bool silent =
+      resigned_.contains(endpoint) || now - peer.heardAt > kDeadAfter;
+    if (silent) {
+      peer.omitted = true;
+      peer.omittedAt = now;
+      continue;
+    }
+    const bool held = peer.omitted && now - peer.omittedAt <= kKeyLease;
+    peer.omitted = held;
+    heard.push_back({ endpoint, held ? 0 : peer.heardSequence });
+  }
+  return heard;
+}
+
+auto KeyHome::TakeHeartbeat(const Endpoint& aPeer,
+                            Incarnation aIncarnation,
+                            std::uint64_t aSequence,
+                            std::uint64_t aTargetsDigest,
+                            const std::vector<PeerAck>& aHeard) -> void
+{
+  const std::lock_guard lock(mutex_);
+  const auto found = peers_.find(aPeer);
+  if (found == peers_.end()) {
+    return;
+  }
+  const auto now = clock_.Now();
+  RefreshLease(now);
+  auto& peer = found->second;
+  peer.targetsDigest = aTargetsDigest;
+  if (aTargetsDigest != digest_) {
+    return;
+  }
+  switched_.insert(aPeer);
+  if (aIncarnation > peer.incarnation) {
+    peer.incarnation = aIncarnation;
+    peer.heardSequence = 0;
+    resigned_.erase(aPeer);
+  }
+  const bool old =
+    aIncarnation < peer.incarnation || aSequence <= peer.heardSequence;
+  if (old) {
+    return;
+  }
+  peer.heardAt = now;
+  peer.heardSequence = aSequence;
+  peer.reports.clear();
+  for (const auto& entry : aHeard) {
+    peer.reports.insert(entry.peer);
+    if (entry.peer != init_.self || entry.sequence == 0 ||
+        entry.sequence > sequence_) {
+      continue;
+    }
+    const auto age = sequence_ - entry.sequence;
+    if (age < sentAt_.size()) {
+      const auto sent = sentAt_[sentAt_.size() - 1 - age];
+      peer.ackedUntil = std::max(peer.ackedUntil, sent + kKeyLease);
+      peer.reportUntil = peer.ackedUntil;
+    }
+  }
+  RefreshLease(now);
+}
+
+auto KeyHome::HoldsLeaseLocked(TimePoint aNow) const -> bool
+{
+  std::size_t votes = 1;
+  for (const auto& [endpoint, peer] : peers_) {
+    votes += peer.ackedUntil > aNow ? 1 : 0;
+  }
+  const bool member = std::ranges::find(targets_, init_.self) != targets_.end();
+  return member && !resignedSelf_ && votes * 2 > targets_.size();
+}
+
+auto KeyHome::HoldsLease() const -> bool
+{
+  const std::lock_guard lock(mutex_);
+  return HoldsLeaseLocked(clock_.Now());
+}
+
+auto KeyHome::RefreshLease(TimePoint aNow) -> void
+{
+  const bool holds = HoldsLeaseLocked(aNow);
+  const auto wall = WallMillis(clock_.Wall());
+  if (holds) {
+    if (!held_ && aNow > leaseUntil_ + kTakeoverMargin) {
+      ownSince_ = std::max(ownSince_, wall);
+      takenOver_.clear();
+    }
+    if (switchedSince_ == 0 && OldMajoritySwitched()) {
+      switchedSince_ = wall + kKeyLease.count();
+    }
+    std::vector<TimePoint> until;
+    for (const auto& [endpoint, peer] : peers_) {
+      until.push_back(peer.ackedUntil);
+    }
+    std::ranges::sort(until, std::greater{});
+    const auto needed = targets_.size() / 2;
+    leaseUntil_ = needed == 0 ? aNow + kKeyLease : until[needed - 1];
+  }
+  held_ = holds;
+  RefreshTakeovers(aNow);
+}
+
+auto KeyHome::RefreshTakeovers(TimePoint aNow) -> void
+{
+  for (const auto& target : targets_) {
+    if (target == init_.self) {
+      continue;
+    }
+    if (!held_ || !IsSilent(target, aNow)) {
+      takenOver_.erase(target);
+      continue;
+    }
+    const auto resigned = resigned_.find(target);
+    const auto since = resigned == resigned_.end() ? WallMillis(clock_.Wall())
+                                                   : resigned->second;
+    takenOver_.try_emplace(target, since);
+  }
+}
+
+auto KeyHome::IsSilent(const Endpoint& aTarget, TimePoint aNow) const -> bool
+{
+  const auto found = peers_.find(aTarget);
+  if (found == peers_.end()) {
+    return false;
+  }
+  const auto& own = found->second;
+  // This process's own vote counts once it has left the target out.
+  const bool omits =
+    own.omitted && aNow - own.omittedAt < kKeyLease &&
+    (resigned_.contains(aTarget) || aNow - own.heardAt > kDeadAfter);
+  std::size_t votes = omits ? 1 : 0;
+  for (const auto& [endpoint, peer] : peers_) {
+    const bool valid = peer.reportUntil > aNow && endpoint != aTarget;
+    votes += valid && !peer.reports.contains(aTarget) ? 1 : 0;
+  }
+  return votes * 2 > targets_.size();
+}
+
+auto KeyHome::OldMajoritySwitched() const -> bool
+{
+  std::size_t switched = 0;
+  for (const auto& former : formerTargets_) {
+    const bool there = former == init_.self || switched_.contains(former);
+    switched += there ? 1 : 0;
+  }
+  return switched * 2 > formerTargets_.size() || formerTargets_.empty();
+}
+
+auto KeyHome::FirstHolder(const std::string& aId,
+                          const Endpoint& aExcept,
+                          const std::vector<Endpoint>& aTargets) const
+  -> Endpoint
+{
+  for (const auto& target : RendezvousOrder(HashText(aId), aTargets)) {
+    if (target != aExcept && !takenOver_.contains(target)) {
+      return target;
+    }
+  }
+  return {};
+}
+
+auto KeyHome::RoleSince(const std::string& aId, TimePoint aNow)
+  -> std::optional<std::int64_t>
+{
+  RefreshLease(aNow);
+  if (!held_) {
+    return std::nullopt;
+  }
+  auto since = ownSince_;
+  for (const auto& target : RendezvousOrder(HashText(aId), targets_)) {
+    if (target == init_.self) {
+      break;
+    }
+    const auto taken = takenOver_.find(target);
+    if (taken == takenOver_.end()) {
+      return std::nullopt;
+    }
+    since = std::max(since, taken->second);
+  }
+  if (formerTargets_.empty()) {
+    return since;
+  }
+  const auto former = RendezvousOrder(HashText(aId), formerTargets_).front();
+  if (former == init_.self) {
+    return since;
+  }
+  const auto inherited = inherited_.find(former);
+  if (inherited != inherited_.end()) {
+    return std::max(since, inherited->second);
+  }
+  if (switchedSince_ == 0) {
+    return std::nullopt;
+  }
+  return std::max(since, switchedSince_);
+}
+
+auto KeyHome::Claim(const KeyClaim& aClaim) -> KeyClaimReply
+{
+  const std::lock_guard lock(mutex_);
+  const auto id = IdOf(aClaim.caller, aClaim.key);
+  const auto since = RoleSince(id, clock_.Now());
+  if (!since) {
+    return { ClaimResult::NotHome, {} };
+  }
+  const auto found = records_.find(id);
+  if (found != records_.end()) {
+    auto& record = found->second;
+    const bool same = record.attempt == aClaim.attempt;
+    if (record.state == RecordState::Answered) {
+      return { ClaimResult::Recorded, record.answer };
+    }
+    if (record.state == RecordState::Running && same) {
+      return { ClaimResult::Granted, {} };
+    }
+    if (record.state == RecordState::NotRun && !same) {
+      record.attempt = aClaim.attempt;
+      record.state = RecordState::Running;
+      return { ClaimResult::Granted, {} };
+    }
+    return { ClaimResult::Unknown, {} };
+  }
+  const auto wall = WallMillis(clock_.Wall());
+  const auto skew = init_.clockSkew.count();
+  const auto oldest = std::max(
+    { *since + skew,
+      forgottenBefore_,
+      wall - std::chrono::duration_cast<Millis>(kKeyRetention).count() });
+  if (aClaim.issuedMillis < oldest || aClaim.issuedMillis > wall + skew) {
+    return { ClaimResult::Unknown, {} };
+  }
+  Store(id, { aClaim.attempt, RecordState::Running, aClaim.issuedMillis, {} });
+  return { ClaimResult::Granted, {} };
+}
+
+auto KeyHome::Store(const std::string& aId, Record aRecord) -> void
+{
+  const auto [found, fresh] =
+    records_.insert_or_assign(aId, std::move(aRecord));
+  if (fresh) {
+    order_.push_back(aId);
+  }
+  Forget();
+}
+
+auto KeyHome::Forget() -> void
+{
+  const auto oldest = WallMillis(clock_.Wall()) -
+                      std::chrono::duration_cast<Millis>(kKeyRetention).count();
+  while (!order_.empty()) {
+    const auto found = records_.find(order_.front());
+    const bool due = found == records_.end() ||
+                     found->second.issuedMillis < oldest ||
+                     records_.size() > init_.maxRecords;
+    if (!due) {
+      return;
+    }
+    if (found != records_.end()) {
+      forgottenBefore_ =
+        std::max(forgottenBefore_, found->second.issuedMillis + 1);
+      records_.erase(found);
+    }
+    order_.pop_front();
+  }
+}
+
+auto KeyHome::Finish(const KeyOutcome& aOutcome) -> void
+{
+  const std::lock_guard lock(mutex_);
+  const auto found = records_.find(IdOf(aOutcome.caller, aOutcome.key));
+  if (found == records_.end() || found->second.attempt != aOutcome.attempt ||
+      found->second.state != RecordState::Running) {
+    return;
+  }
+  auto& record = found->second;
+  switch (aOutcome.outcome) {
+    case Outcome::Answered:
+      record.state = RecordState::Answered;
+      record.answer = aOutcome.answer;
+      break;
+    case Outcome::NotRun:
+      record.state = RecordState::NotRun;
+      break;
+    default:
+      record.state = RecordState::Unknown;
+      break;
+  }
+}
+
+auto KeyHome::PullsWanted() const -> std::vector<Endpoint>
+{
+  const std::lock_guard lock(mutex_);
+  return { pulls_.begin(), pulls_.end() };
+}
+
+auto KeyHome::Export(const Endpoint& aAsker, std::uint64_t aTargetsDigest)
+  -> KeyPullReply
+{
+  const std::lock_guard lock(mutex_);
+  KeyPullReply reply;
+  if (aTargetsDigest != digest_ && !resignedSelf_) {
+    return reply;
+  }
+  reply.complete = heldAtSwitch_ ? 1 : 0;
+  reply.roleSinceMillis = ownSince_;
+  for (const auto& [home, since] : inherited_) {
+    reply.roleSinceMillis = std::max(reply.roleSinceMillis, since);
+  }
+  const auto except = resignedSelf_ ? init_.self : Endpoint{};
+  for (const auto& [id, record] : records_) {
+    if (FirstHolder(id, except, targets_) == aAsker) {
+      reply.records.push_back({ id,
+                                record.attempt,
+                                static_cast<std::uint8_t>(record.state),
+                                record.issuedMillis,
+                                record.answer });
+    }
+  }
+  return reply;
+}
+
+auto KeyHome::Absorb(const KeyPullReply& aReply) -> void
+{
+  for (const auto& text : aReply.records) {
+    if (text.state > static_cast<std::uint8_t>(RecordState::Unknown) ||
+        records_.contains(text.key)) {
+      continue;
+    }
+    Store(text.key,
+          { text.attempt,
+            static_cast<RecordState>(text.state),
+            text.issuedMillis,
+            text.answer });
+  }
+}
+
+auto KeyHome::Import(const Endpoint& aFrom, const KeyPullReply& aReply) -> void
+{
+  const std::lock_guard lock(mutex_);
+  if (!pulls_.contains(aFrom)) {
+    return;
+  }
+  Absorb(aReply);
+  pulls_.erase(aFrom);
+  switched_.insert(aFrom);
+  if (aReply.complete != 0) {
+    inherited_[aFrom] = aReply.roleSinceMillis;
+  }
+}
+
+auto KeyHome::Resign() -> void
+{
+  const std::lock_guard lock(mutex_);
+  RefreshLease(clock_.Now());
+  heldAtSwitch_ = held_;
+  resignedSelf_ = true;
+}
+
+auto KeyHome::TakeResignation(const Endpoint& aFrom,
+                              std::uint64_t aTargetsDigest,
+                              const KeyPullReply& aRoles) -> void
+{
+  const std::lock_guard lock(mutex_);
+  const auto found = peers_.find(aFrom);
+  if (found == peers_.end() || aTargetsDigest != digest_) {
+    return;
+  }
+  Absorb(aRoles);
+  if (aRoles.complete == 0) {
+    return;
+  }
+  resigned_[aFrom] = aRoles.roleSinceMillis;
+  found->second.omitted = true;
+  found->second.omittedAt = clock_.Now();
+}
+
+auto KeyHome::RecordCount() const -> std::size_t
+{
+  const std::lock_guard lock(mutex_);
+  return records_.size();
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/core/membership.h
@@ -0,0 +1,165 @@
+#pragma once
+
+// Who is alive: heartbeats within a service, SWIM-style probing beyond, facts
+// merged by incarnation, and the platform's lagging list.
+
+#include "core/clock.h"
+#include "core/config.h"
+#include "wire/messages.h"
+
+#include <deque>
+#include <mutex>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace damaskwalk {
+
+struct MembershipInit
+{
+  Endpoint self;
+  Role role = Role::Unknown;
+  std::string failureDomain;
+  Incarnation incarnation = 1;
+  std::uint64_t seed = 1;
+};
+
+// One VM as the platform lists it.
+struct ListedVm
+{
+  Endpoint member;
+  Role role = Role::Unknown;
+  std::string failureDomain;
+  bool leaving = false;
+};
+
+// What the driver has to send or try after a tick.
+struct MembershipActions
+{
+  struct ProbeTo
+  {
+    Endpoint receiver;
+    Probe probe;
+  };
+  std::vector<ProbeTo> probes;
+  // Members whose TCP port tells a dead process from a paused one.
+  std::vector<Endpoint> confirm;
+};
+
+struct MemberView
+{
+  Endpoint member;
+  Role role = Role::Unknown;
+  MemberState state = MemberState::Alive;
+  Incarnation incarnation = 0;
+  std::string failureDomain;
+  TimePoint lastHeard;
+};
+
+struct MemberChange
+{
+  Endpoint member;
+  Role role = Role::Unknown;
+  MemberState from = MemberState::Alive;
+  MemberState to = MemberState::Alive;
+  bool restarted = false;
+};
+
+auto ToText(MemberState aState) -> const char*;
+
+// Thread safe; one lock.
+class Membership
+{
+public:
+  Membership(const MembershipInit& aInit, const Clock& aClock);
+
+  // Any message from a member proves that it runs.
+  auto Hear(const Endpoint& aMember, Role aRole, Incarnation aIncarnation)
+    -> void;
+  auto Merge(const std::vector<MemberFact>& aFacts) -> void;
+  // The platform's list. Being listed is not being alive, nor the reverse; a
+  // member that is dead and no longer listed is forgotten.
+  auto ApplyListing(const std::vector<ListedVm>& aListing) -> void;
+  // Members that send heartbeats to this process.
+  auto SetPeers(const std::vector<Endpoint>& aPeers) -> void;
+
+  auto Tick() -> MembershipActions;
+  auto TakeProbe(const Endpoint& aSender, const Probe& aProbe)
+    -> MembershipActions;
+  auto TakeAck(const ProbeAck& aAck) -> void;
+  // Result of a TCP connection to a suspect.
+  auto Confirm(const Endpoint& aMember, bool aAccepted, bool aRefused) -> void;
+  auto SetLeaving() -> void;
+
+  // Facts to piggyback, least sent first.
+  auto TakeFacts(std::size_t aMost) -> std::vector<MemberFact>;
+  // State changes since the last call.
+  auto TakeChanges() -> std::vector<MemberChange>;
+
+  auto StateOf(const Endpoint& aMember) const -> MemberState;
+  // New work may go there.
+  auto IsUsable(const Endpoint& aMember) const -> bool;
+  auto IsDead(const Endpoint& aMember) const -> bool;
+  // True while most others look silent: this process may be the one cut off.
+  auto SuspectsSelf() const -> bool;
+  auto Views() const -> std::vector<MemberView>;
+  auto Known(Role aRole) const -> std::vector<Endpoint>;
+  auto SelfIncarnation() const -> Incarnation;
+  // The platform lists this process's VM as leaving.
+  auto IsSelfListedLeaving() const -> bool;
+
+private:
+  struct Member
+  {
+    Role role = Role::Unknown;
+    MemberState state = MemberState::Alive;
+    Incarnation incarnation = 0;
+    std::string failureDomain;
+    TimePoint lastHeard;
+    TimePoint suspectSince;
+    TimePoint probedAt;
+    bool heard = false;
+    bool listed = false;
+    bool peer = false;
+    bool probing = false;
+    bool indirect = false;
+    std::uint32_t flaps = 0;
+    TimePoint lastFlap;
+  };
+  struct PendingFact
+  {
+    MemberFact fact;
+    std::uint32_t sends = 0;
+  };
+
+  auto Change(const Endpoint& aEndpoint, Member& aMember, MemberState aState)
+    -> void;
+  auto Spread(const Endpoint& aEndpoint, const Member& aMember) -> void;
+  auto ApplyFact(const MemberFact& aFact) -> void;
+  auto RefuteSelf(const MemberFact& aFact) -> void;
+  auto KillDomain(const std::string& aDomain) -> void;
+  auto TickMember(const Endpoint& aEndpoint,
+                  Member& aMember,
+                  MembershipActions& aActions) -> void;
+  auto ProbeNext(MembershipActions& aActions) -> void;
+  auto CountSilent() -> void;
+  auto FactsLocked(std::size_t aMost) -> std::vector<MemberFact>;
+  auto Find(const Endpoint& aEndpoint) const -> const Member*;
+
+  MembershipInit init_;
+  const Clock& clock_;
+  mutable std::mutex mutex_;
+  std::unordered_map<Endpoint, Member, KeyHash> members_;
+  std::deque<PendingFact> facts_;
+  std::vector<MemberChange> changes_;
+  std::vector<Endpoint> probeOrder_;
+  std::unordered_map<std::uint64_t, Endpoint> relayed_;
+  std::mt19937_64 random_;
+  std::uint64_t sequence_ = 0;
+  TimePoint nextProbe_;
+  bool suspectsSelf_ = false;
+  bool leaving_ = false;
+  bool listedLeaving_ = false;
+};
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/runtime/json.cpp
@@ -0,0 +1,2 @@
+// Boost.JSON, compiled once.
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/src/runtime/node.cpp
@@ -0,0 +1,500 @@
+#include "runtime/node.h"
+
+#include "runtime/log.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <sys/socket.h>
+#include <time.h>
+
+#include <algorithm>
+#include <array>
+
+namespace damaskwalk {
+
+namespace asio = boost::asio;
+namespace leaf = boost::leaf;
+using asio::ip::tcp;
+using asio::ip::udp;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kReceiveBatch = 32;
+constexpr int kSocketBufferBytes = 4 * 1024 * 1024;
+constexpr Millis kServeWithin{ 60000 };
+constexpr Millis kGarbageLogPeriod{ 1000 };
+
+auto StartIncarnation(const Clock& aClock) -> Incarnation
+{
+  return static_cast<Incarnation>(WallMillis(aClock.Wall()));
+}
+
+auto ThreadCpuNanos() -> std::int64_t
+{
+  timespec time{};
+  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return time.tv_sec * 1000000000LL + time.tv_nsec;
+}
+
+} // namespace
+
+CpuTimer::CpuTimer(std::atomic<std::int64_t>& aTotal)
+  : total_(aTotal)
+  , start_(ThreadCpuNanos())
+{
+}
+
+CpuTimer::~CpuTimer()
+{
+  total_ += ThreadCpuNanos() - start_;
+}
+
+Blackboard::Blackboard(const NodeSettings& aSettings,
+                       Role aRole,
+                       const Clock& aClock)
+  : clock(aClock)
+  , documents(aClock)
+  , members({ aSettings.listen,
+              aRole,
+              aSettings.failureDomain,
+              StartIncarnation(aClock),
+              HashOf(aSettings.listen) },
+            aClock)
+  , budget({ aSettings.controlBytesPerSecond, aSettings.controlBurstBytes },
+           aClock.Now())
+  , journal(aClock)
+{
+}
+
+Node::Node(const NodeSettings& aSettings, Role aRole)
+  : settings_(aSettings)
+  , role_(aRole)
+  , board_(aSettings, aRole, clock_)
+  , tracer_(aSettings.traceFile,
+            aSettings.traceService.empty() ? ToText(aSettings.listen)
+                                           : aSettings.traceService,
+            Mix(HashOf(aSettings.listen), board_.members.SelfIncarnation()))
+  , platform_(aSettings.platform)
+  , random_(Mix(HashOf(aSettings.listen), board_.members.SelfIncarnation()))
+  , garbage_(metrics_.Counter("damaskwalk_garbage_datagrams_total",
+                              "Datagrams that were no message"))
+{
+}
+
+Node::~Node()
+{
+  io_.stop();
+  for (auto& thread : threads_) {
+    thread.join();
+  }
+}
+
+auto Node::BindSockets() -> leaf::result<void>
+{
+  const auto fail = [this](const char* aKey, const std::string& aProblem) {
+    return leaf::new_error(SettingsError{ "", "node", aKey, aProblem });
+  };
+  const auto taken = ToText(settings_.listen) + " is in use";
+  boost::system::error_code error;
+  acceptor_ = std::make_unique<tcp::acceptor>(io_);
+  acceptor_->open(tcp::v4());
+  acceptor_->set_option(tcp::acceptor::reuse_address(true));
+  acceptor_->bind(ToAsioTcp(settings_.listen), error);
+  if (!error) {
+    acceptor_->listen(1024, error);
+  }
+  if (error) {
+    return fail("listen", taken);
+  }
+  for (std::uint32_t i = 0; i < settings_.threads; ++i) {
+    auto socket = std::make_unique<udp::socket>(io_);
+    socket->open(udp::v4());
+    const int on = 1;
+    ::setsockopt(
+      socket->native_handle(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
+    socket->set_option(
+      asio::socket_base::receive_buffer_size(kSocketBufferBytes), error);
+    socket->set_option(asio::socket_base::send_buffer_size(kSocketBufferBytes),
+                       error);
+    socket->bind(ToAsioUdp(settings_.listen), error);
+    if (error) {
+      return fail("listen", taken);
+    }
+    socket->non_blocking(true);
+    sockets_.push_back(std::move(socket));
+  }
+  if (settings_.metrics.IsValid() && !metrics_.Serve(settings_.metrics)) {
+    return fail("metrics", ToText(settings_.metrics) + " is in use");
+  }
+  transport_ = MakeTransportUdp(*sockets_.front());
+  if (!settings_.cutFile.empty()) {
+    transport_ = MakeTransportCut(std::move(transport_), settings_.cutFile);
+  }
+  return {};
+}
+
+auto Node::Start(NodeRole& aRole) -> leaf::result<void>
+{
+  handler_ = &aRole;
+  BOOST_LEAF_CHECK(BindSockets());
+  lastTick_ = clock_.Now().time_since_epoch().count();
+  return {};
+}
+
+auto Node::Run() -> int
+{
+  for (std::size_t i = 0; i < sockets_.size(); ++i) {
+    Spawn(ReceiveLoop(i));
+  }
+  Spawn(AcceptLoop());
+  Spawn(Bootstrap());
+  Spawn(TickLoop());
+  Spawn(ReaderLoop());
+  Spawn(ListingLoop());
+  Spawn(StopOnSignal());
+  Event("started")
+    .With("listen", ToText(settings_.listen))
+    .With("failure_domain", settings_.failureDomain)
+    .Info();
+  for (std::uint32_t i = 1; i < settings_.threads; ++i) {
+    threads_.emplace_back([this] { io_.run(); });
+  }
+  io_.run();
+  for (auto& thread : threads_) {
+    thread.join();
+  }
+  threads_.clear();
+  Event("stopped").With("listen", ToText(settings_.listen)).Info();
+  return 0;
+}
+
+auto Node::Spawn(Task<void> aTask) -> void
+{
+  asio::co_spawn(
+    asio::make_strand(io_), std::move(aTask), [](std::exception_ptr aError) {
+      if (!aError) {
+        return;
+      }
+      try {
+        std::rethrow_exception(aError);
+      } catch (const std::exception& error) {
+        Event("task_failed").With("problem", error.what()).Warn();
+      }
+    });
+}
+
+auto Node::Sleep(Millis aTime) -> Task<void>
+{
+  asio::steady_timer timer(co_await asio::this_coro::executor, aTime);
+  co_await timer.async_wait(kAwait);
+}
+
+auto Node::Post(std::function<void()> aFunction) -> void
+{
+  asio::post(io_, std::move(aFunction));
+}
+
+auto Node::IsListedLeaving() const -> bool
+{
+  return board_.members.IsSelfListedLeaving();
+}
+
+auto Node::StopOnSignal() -> Task<void>
+{
+  asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT);
+  co_await signals.async_wait(kAwait);
+  stopping_ = true;
+  Event("stopping").With("listen", ToText(settings_.listen)).Info();
+  board_.members.SetLeaving();
+  Spawn([](Node& aNode) -> Task<void> {
+    co_await aNode.Sleep(aNode.settings_.stopWithin);
+    Event("stop_timeout").Warn();
+    aNode.io_.stop();
+  }(*this));
+  co_await handler_->Drain();
+  io_.stop();
+}
+
+auto Node::ReceiveLoop(std::size_t aIndex) -> Task<void>
+{
+  auto& socket = *sockets_[aIndex];
+  std::vector<std::array<char, kMaxDatagramBytes>> buffers(kReceiveBatch);
+  std::array<iovec, kReceiveBatch> vectors{};
+  std::array<mmsghdr, kReceiveBatch> headers{};
+  for (std::size_t i = 0; i < kReceiveBatch; ++i) {
+    vectors[i] = { buffers[i].data(), buffers[i].size() };
+    headers[i].msg_hdr.msg_iov = &vectors[i];
+    headers[i].msg_hdr.msg_iovlen = 1;
+  }
+  for (;;) {
+    const auto count = ::recvmmsg(socket.native_handle(),
+                                  headers.data(),
+                                  kReceiveBatch,
+                                  MSG_DONTWAIT,
+                                  nullptr);
+    if (count <= 0) {
+      const auto [error] =
+        co_await socket.async_wait(udp::socket::wait_read, kAwait);
+      if (error == asio::error::operation_aborted) {
+        co_return;
+      }
+      continue;
+    }
+    CheckPause();
+    for (int i = 0; i < count; ++i) {
+      OnDatagram({ buffers[static_cast<std::size_t>(i)].data(),
+                   headers[static_cast<std::size_t>(i)].msg_len });
+    }
+  }
+}
+
+auto Node::OnDatagram(std::string_view aBytes) -> void
+{
+  if (LooksLikeFrame(aBytes)) {
+    handler_->OnFrame(aBytes);
+    return;
+  }
+  leaf::try_handle_all(
+    [&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(letter, DecodeMessage(aBytes));
+      OnLetter(letter);
+      return {};
+    },
+    [&](WireError) { CountGarbage(aBytes); },
+    [&] { CountGarbage(aBytes); });
+}
+
+auto Node::CountGarbage(std::string_view aBytes) -> void
+{
+  garbage_.Increment();
+  const auto now = clock_.Now().time_since_epoch().count();
+  auto logged = garbageLogged_.load();
+  const auto period =
+    std::chrono::duration_cast<TimePoint::duration>(kGarbageLogPeriod).count();
+  if (now - logged > period &&
+      garbageLogged_.compare_exchange_strong(logged, now)) {
+    Event("garbage_dropped").With("bytes", aBytes.size()).Warn();
+  }
+}
+
+auto Node::OnLetter(const Letter& aLetter) -> void
+{
+  const auto& sender = aLetter.envelope.sender;
+  if (!transport_->MayReach(sender)) {
+    return;
+  }
+  NoteVersion(aLetter.envelope);
+  if (std::holds_alternative<PacketForward>(aLetter.message)) {
+    handler_->OnMessage(aLetter);
+    return;
+  }
+  const CpuTimer timer(controlCpuNanos_);
+  board_.members.Hear(
+    sender, aLetter.envelope.role, aLetter.envelope.incarnation);
+  if (const auto* probe = std::get_if<Probe>(&aLetter.message)) {
+    const auto actions = board_.members.TakeProbe(sender, *probe);
+    if (actions.probes.empty()) {
+      Send(sender,
+           ProbeAck{ probe->sequence, Self(), board_.members.TakeFacts(6) });
+    }
+    SendProbes(actions);
+    return;
+  }
+  if (const auto* ack = std::get_if<ProbeAck>(&aLetter.message)) {
+    board_.members.TakeAck(*ack);
+    return;
+  }
+  if (std::holds_alternative<DocumentAdvert>(aLetter.message)) {
+    return;
+  }
+  handler_->OnMessage(aLetter);
+}
+
+auto Node::SelfEnvelope() const -> Envelope
+{
+  const auto document = board_.documents.Current();
+  return { settings_.listen,
+           role_,
+           board_.members.SelfIncarnation(),
+           document->version,
+           document->digest };
+}
+
+auto Node::Send(const Endpoint& aTo, const Message& aMessage) -> bool
+{
+  const auto bytes = EncodeMessage(SelfEnvelope(), aMessage);
+  if (!board_.budget.TrySpend(ClassOf(aMessage), bytes.size(), clock_.Now())) {
+    return false;
+  }
+  transport_->Send(aTo, bytes);
+  return true;
+}
+
+auto Node::SendFrame(const Frame& aFrame) -> void
+{
+  transport_->Send(settings_.gateway, EncodeFrame(aFrame));
+}
+
+auto Node::Call(Endpoint aTo, Message aMessage, Millis aWithin)
+  -> Task<CallOutcome>
+{
+  if (!transport_->MayReach(aTo)) {
+    co_await Sleep(aWithin);
+    co_return CallOutcome{};
+  }
+  auto bytes = EncodeMessage(SelfEnvelope(), aMessage);
+  if (!board_.budget.TrySpend(ClassOf(aMessage), bytes.size(), clock_.Now())) {
+    co_return CallOutcome{};
+  }
+  auto reply = co_await CallBulk(aTo, std::move(bytes), aWithin);
+  CallOutcome outcome;
+  outcome.status = reply.status;
+  if (reply.status != CallStatus::Replied) {
+    co_return outcome;
+  }
+  leaf::try_handle_all(
+    [&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(letter, DecodeMessage(reply.bytes));
+      outcome.message = std::move(letter.message);
+      NoteVersion(letter.envelope);
+      board_.members.Hear(
+        aTo, letter.envelope.role, letter.envelope.incarnation);
+      return {};
+    },
+    [&] {
+      CountGarbage(reply.bytes);
+      outcome.status = CallStatus::Lost;
+    });
+  co_return outcome;
+}
+
+auto Node::AcceptLoop() -> Task<void>
+{
+  for (;;) {
+    auto strand = asio::make_strand(io_);
+    auto [error, socket] = co_await acceptor_->async_accept(strand, kAwait);
+    if (error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error) {
+      co_await Sleep(Millis{ 10 });
+      continue;
+    }
+    asio::co_spawn(strand,
+                   Serve(boost::beast::tcp_stream(std::move(socket))),
+                   asio::detached);
+  }
+}
+
+auto Node::Serve(boost::beast::tcp_stream aStream) -> Task<void>
+{
+  aStream.expires_after(kServeWithin);
+  const auto bytes = co_await ReadBulk(aStream);
+  if (!bytes) {
+    co_return;
+  }
+  CheckPause();
+  std::optional<Letter> letter;
+  leaf::try_handle_all(
+    [&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(decoded, DecodeMessage(*bytes));
+      letter = std::move(decoded);
+      return {};
+    },
+    [&] { CountGarbage(*bytes); });
+  if (!letter || !transport_->MayReach(letter->envelope.sender)) {
+    co_return;
+  }
+  if (letter->envelope.role != Role::Unknown) {
+    NoteVersion(letter->envelope);
+    board_.members.Hear(letter->envelope.sender,
+                        letter->envelope.role,
+                        letter->envelope.incarnation);
+  }
+  auto reply = co_await ServeOne(std::move(*letter));
+  const auto encoded = EncodeMessage(SelfEnvelope(), reply);
+  board_.budget.TrySpend(ClassOf(reply), encoded.size(), clock_.Now());
+  co_await WriteBulk(aStream, encoded);
+}
+
+auto Node::ServeOne(Letter aLetter) -> Task<Message>
+{
+  if (const auto* pull = std::get_if<DocumentPull>(&aLetter.message)) {
+    co_return board_.documents.ReplySince(pull->have);
+  }
+  if (const auto* query = std::get_if<ExplainQuery>(&aLetter.message)) {
+    co_return TextReply{ boost::json::serialize(handler_->Explain(*query)) };
+  }
+  if (std::holds_alternative<StatusQuery>(aLetter.message)) {
+    auto status = handler_->Status();
+    status["address"] = ToText(Self());
+    status["failure_domain"] = settings_.failureDomain;
+    status["version"] = board_.documents.Version();
+    status["refused_version"] = board_.documents.RefusedVersion();
+    status["reader"] = IsReader();
+    status["current"] = IsCurrent();
+    status["control_cpu_micros"] = controlCpuNanos_.load() / 1000;
+    status["platform_calls"] = platformCalls_.load();
+    status["platform_confirmed_millis"] = confirmedMillis_.load();
+    boost::json::array errors;
+    for (const auto& error : board_.documents.RefusedErrors()) {
+      errors.emplace_back(ToText(error));
+    }
+    status["refused_errors"] = std::move(errors);
+    boost::json::object control;
+    for (std::size_t i = 0; i < kControlClasses; ++i) {
+      const auto kind = static_cast<ControlClass>(i);
+      const auto use = board_.budget.Use(kind);
+      control[ToText(kind)] = { { "messages", use.messages },
+                                { "bytes", use.bytes },
+                                { "refused", use.refused } };
+    }
+    status["control"] = std::move(control);
+    boost::json::array members;
+    for (const auto& view : board_.members.Views()) {
+      members.push_back(
+        { { "member", ToText(view.member) },
+          { "role", view.role == Role::Balancer ? "balancer" : "agent" },
+          { "state", ToText(view.state) },
+          { "failure_domain", view.failureDomain } });
+    }
+    status["members"] = std::move(members);
+    co_return TextReply{ boost::json::serialize(status) };
+  }
+  co_return co_await handler_->OnCall(std::move(aLetter));
+}
+
+auto Node::TickLoop() -> Task<void>
+{
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  for (;;) {
+    timer.expires_after(kTickPeriod);
+    co_await timer.async_wait(kAwait);
+    CheckPause();
+    if (++ticks_ % 5 == 0) {
+      const CpuTimer control(controlCpuNanos_);
+      TickMembers();
+    }
+    if (ticks_ % 10 == 0) {
+      transport_->Refresh();
+    }
+    if (ticks_ % 100 == 0) {
+      for (const auto& peer : RandomPeers(1)) {
+        Send(peer, DocumentAdvert{});
+      }
+    }
+    handler_->OnTick();
+  }
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/runtime/node.h
@@ -0,0 +1,188 @@
+#pragma once
+
+// One process of the system: sockets, threads, the blackboard that its
+// controllers share, and the messages that every role handles alike.
+
+#include "core/budget.h"
+#include "core/document_store.h"
+#include "core/journal.h"
+#include "core/membership.h"
+#include "runtime/bulk.h"
+#include "runtime/metrics.h"
+#include "runtime/platform_client.h"
+#include "runtime/settings.h"
+#include "runtime/tracer.h"
+#include "runtime/transport.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace damaskwalk {
+
+template<class T>
+using Task = boost::asio::awaitable<T>;
+
+// The sections that controllers read and write, each under its own lock.
+struct Blackboard
+{
+  Blackboard(const NodeSettings& aSettings, Role aRole, const Clock& aClock);
+
+  const Clock& clock;
+  DocumentStore documents;
+  Membership members;
+  ControlBudget budget;
+  Journal journal;
+};
+
+// What a role adds to a node. Called from several threads.
+class NodeRole
+{
+public:
+  virtual ~NodeRole() = default;
+  // A caller's packet from the fabric.
+  virtual auto OnFrame(std::string_view aBytes) -> void = 0;
+  virtual auto OnMessage(const Letter& aLetter) -> void = 0;
+  // A request over TCP.
+  virtual auto OnCall(Letter aLetter) -> Task<Message> = 0;
+  // Every kTickPeriod, from one thread at a time.
+  virtual auto OnTick() -> void = 0;
+  virtual auto OnDocument(DocumentPtr aBefore, DocumentPtr aNow) -> void = 0;
+  virtual auto OnMembers(const std::vector<MemberChange>& aChanges) -> void = 0;
+  virtual auto Status() const -> boost::json::object = 0;
+  virtual auto Explain(const ExplainQuery& aQuery) const
+    -> boost::json::object = 0;
+  // Leaves without cutting anything; returns when done.
+  virtual auto Drain() -> Task<void> = 0;
+};
+
+constexpr Millis kTickPeriod{ 10 };
+
+struct CallOutcome
+{
+  CallStatus status = CallStatus::NotSent;
+  Message message;
+};
+
+// Adds this thread's processor time to a total while it lives.
+class CpuTimer
+{
+public:
+  explicit CpuTimer(std::atomic<std::int64_t>& aTotal);
+  ~CpuTimer();
+  CpuTimer(const CpuTimer&) = delete;
+  auto operator=(const CpuTimer&) -> CpuTimer& = delete;
+
+private:
+  std::atomic<std::int64_t>& total_;
+  std::int64_t start_;
+};
+
+class Node
+{
+public:
+  Node(const NodeSettings& aSettings, Role aRole);
+  ~Node();
+
+  // Binds the sockets. On an error nothing is left started.
+  auto Start(NodeRole& aRole) -> boost::leaf::result<void>;
+  // Runs until SIGTERM or SIGINT, then drains; returns the exit code.
+  auto Run() -> int;
+
+  // Sends a datagram if the budget allows it; false when it does not.
+  auto Send(const Endpoint& aTo, const Message& aMessage) -> bool;
+  // Sends a frame towards its caller.
+  auto SendFrame(const Frame& aFrame) -> void;
+  auto Call(Endpoint aTo, Message aMessage, Millis aWithin)
+    -> Task<CallOutcome>;
+  // Runs a task on a strand of its own.
+  auto Spawn(Task<void> aTask) -> void;
+  auto Sleep(Millis aTime) -> Task<void>;
+  // Runs a function soon on one of the node's threads.
+  auto Post(std::function<void()> aFunction) -> void;
+
+  auto Board() -> Blackboard& { return board_; }
+  auto Board() const -> const Blackboard& { return board_; }
+  auto Meter() -> Metrics& { return metrics_; }
+  auto Traces() -> Tracer& { return tracer_; }
+  auto Settings() const -> const NodeSettings& { return settings_; }
+  auto Self() const -> Endpoint { return settings_.listen; }
+  auto SelfEnvelope() const -> Envelope;
+  // False after a pause, or before the first document, until a peer or the
+  // platform has confirmed what this process believes.
+  auto IsCurrent() const -> bool;
+  auto IsStopping() const -> bool { return stopping_; }
+  auto Reaches(const Endpoint& aPeer) const -> bool
+  {
+    return transport_->MayReach(aPeer);
+  }
+  // True while the platform lists this VM as leaving.
+  auto IsListedLeaving() const -> bool;
+
+private:
+  auto BindSockets() -> boost::leaf::result<void>;
+  auto ReceiveLoop(std::size_t aIndex) -> Task<void>;
+  auto OnDatagram(std::string_view aBytes) -> void;
+  auto OnLetter(const Letter& aLetter) -> void;
+  auto CountGarbage(std::string_view aBytes) -> void;
+  auto AcceptLoop() -> Task<void>;
+  auto Serve(boost::beast::tcp_stream aStream) -> Task<void>;
+  auto ServeOne(Letter aLetter) -> Task<Message>;
+  auto TickLoop() -> Task<void>;
+  auto CheckPause() -> void;
+  auto StopOnSignal() -> Task<void>;
+
+  // Documents.
+  auto Bootstrap() -> Task<void>;
+  auto ReaderLoop() -> Task<void>;
+  auto ListingLoop() -> Task<void>;
+  auto ReadListing() -> Task<bool>;
+  auto Pull(Endpoint aFrom) -> Task<void>;
+  auto NoteVersion(const Envelope& aEnvelope) -> void;
+  auto Announce() -> void;
+  auto Adopt(DocumentPtr aBefore) -> void;
+  auto IsReader() const -> bool;
+  auto RandomPeers(std::size_t aMost) -> std::vector<Endpoint>;
+
+  // Liveness.
+  auto TickMembers() -> void;
+  auto SendProbes(const MembershipActions& aActions) -> void;
+  auto ConfirmSuspect(Endpoint aSuspect) -> Task<void>;
+  auto Recheck() -> Task<void>;
+
+  NodeSettings settings_;
+  Role role_;
+  SystemClock clock_;
+  Blackboard board_;
+  Metrics metrics_;
+  Tracer tracer_;
+  PlatformClient platform_;
+  boost::asio::io_context io_;
+  std::vector<std::unique_ptr<boost::asio::ip::udp::socket>> sockets_;
+  std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
+  std::unique_ptr<Transport> transport_;
+  NodeRole* handler_ = nullptr;
+  std::vector<std::thread> threads_;
+  std::atomic<bool> stopping_{ false };
+  std::atomic<bool> current_{ false };
+  std::atomic<bool> pulling_{ false };
+  std::atomic<bool> rechecking_{ false };
+  std::atomic<TimePoint::rep> lastTick_{ 0 };
+  std::atomic<TimePoint::rep> lastAdvert_{ 0 };
+  std::atomic<std::int64_t> confirmedMillis_{ 0 };
+  std::atomic<std::uint64_t> platformCalls_{ 0 };
+  std::atomic<std::int64_t> controlCpuNanos_{ 0 };
+  std::mutex randomMutex_;
+  std::mt19937_64 random_;
+  std::uint64_t ticks_ = 0;
+  prometheus::Counter& garbage_;
+  std::atomic<TimePoint::rep> garbageLogged_{ 0 };
+};
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/runtime/node_control.cpp
@@ -0,0 +1,311 @@
+// The parts of a node that keep its document and its view of the fleet.
+
+#include "runtime/node.h"
+
+#include "core/rendezvous.h"
+#include "runtime/log.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace damaskwalk {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr std::size_t kReadersPerDomain = 2;
+constexpr std::size_t kAnnounceFanout = 4;
+constexpr std::size_t kBootstrapPeers = 3;
+constexpr Millis kWatchWait{ 5000 };
+constexpr Millis kListingPeriod{ 1000 };
+constexpr Millis kRetryPeriod{ 500 };
+constexpr Millis kPullWithin{ 2000 };
+constexpr Millis kConfirmWithin{ 400 };
+constexpr Millis kAdvertGap{ 20 };
+constexpr Millis kRecheckWithin{ 500 };
+
+auto Ticks(Millis aTime) -> TimePoint::rep
+{
+  return std::chrono::duration_cast<TimePoint::duration>(aTime).count();
+}
+
+} // namespace
+
+auto Node::IsCurrent() const -> bool
+{
+  const auto idle = clock_.Now().time_since_epoch().count() - lastTick_.load();
+  return current_ && idle < Ticks(kPauseGap);
+}
+
+auto Node::CheckPause() -> void
+{
+  const auto now = clock_.Now().time_since_epoch().count();
+  const auto idle = now - lastTick_.exchange(now);
+  if (idle < Ticks(kPauseGap) || !current_) {
+    return;
+  }
+  current_ = false;
+  Event("pause_noticed").With("millis", idle / 1000000).Warn();
+  board_.journal.Add("event=pause_noticed millis=" +
+                     std::to_string(idle / 1000000));
+  if (!rechecking_.exchange(true)) {
+    Spawn(Recheck());
+  }
+}
+
+auto Node::Recheck() -> Task<void>
+{
+  const auto before = board_.documents.Current();
+  for (const auto& peer : RandomPeers(kBootstrapPeers)) {
+    const auto have = board_.documents.Version();
+    auto outcome = co_await Call(peer, DocumentPull{ have }, kRecheckWithin);
+    if (const auto* reply = std::get_if<DocumentReply>(&outcome.message)) {
+      board_.documents.OfferReply(*reply);
+    }
+  }
+  rechecking_ = false;
+  current_ = board_.documents.Version() != 0;
+  Adopt(before);
+}
+
+auto Node::NoteVersion(const Envelope& aEnvelope) -> void
+{
+  const auto own = board_.documents.Version();
+  if (aEnvelope.role == Role::Unknown || aEnvelope.version == own) {
+    return;
+  }
+  if (aEnvelope.version > own) {
+    if (!pulling_.exchange(true)) {
+      Spawn(Pull(aEnvelope.sender));
+    }
+    return;
+  }
+  const auto now = clock_.Now().time_since_epoch().count();
+  auto last = lastAdvert_.load();
+  if (now - last > Ticks(kAdvertGap) &&
+      lastAdvert_.compare_exchange_strong(last, now)) {
+    Send(aEnvelope.sender, DocumentAdvert{});
+  }
+}
+
+auto Node::Pull(Endpoint aFrom) -> Task<void>
+{
+  const auto before = board_.documents.Current();
+  auto outcome =
+    co_await Call(aFrom, DocumentPull{ before->version }, kPullWithin);
+  if (const auto* reply = std::get_if<DocumentReply>(&outcome.message)) {
+    if (board_.documents.OfferReply(*reply) == OfferResult::Refused) {
+      outcome = co_await Call(aFrom, DocumentPull{ 0 }, kPullWithin);
+      if (const auto* whole = std::get_if<DocumentReply>(&outcome.message)) {
+        board_.documents.OfferReply(*whole);
+      }
+    }
+  }
+  pulling_ = false;
+  Adopt(before);
+}
+
+auto Node::Adopt(DocumentPtr aBefore) -> void
+{
+  const auto now = board_.documents.Current();
+  if (now->version == aBefore->version) {
+    return;
+  }
+  Event("document_in_force")
+    .With("version", now->version)
+    .With("before", aBefore->version)
+    .Info();
+  board_.journal.Add("event=document_in_force version=" +
+                     std::to_string(now->version));
+  handler_->OnDocument(aBefore, now);
+  Announce();
+}
+
+auto Node::Announce() -> void
+{
+  for (const auto& peer : RandomPeers(kAnnounceFanout)) {
+    Send(peer, DocumentAdvert{});
+  }
+}
+
+auto Node::RandomPeers(std::size_t aMost) -> std::vector<Endpoint>
+{
+  std::vector<Endpoint> peers;
+  for (const auto& view : board_.members.Views()) {
+    if (view.state != MemberState::Dead) {
+      peers.push_back(view.member);
+    }
+  }
+  for (const auto& seed : settings_.seeds) {
+    if (peers.size() < aMost && seed != Self()) {
+      peers.push_back(seed);
+    }
+  }
+  const std::lock_guard lock(randomMutex_);
+  std::ranges::shuffle(peers, random_);
+  peers.resize(std::min(peers.size(), aMost));
+  return peers;
+}
+
+auto Node::IsReader() const -> bool
+{
+  std::vector<Endpoint> domain = { Self() };
+  for (const auto& view : board_.members.Views()) {
+    const bool counts = view.failureDomain == settings_.failureDomain &&
+                        view.state != MemberState::Dead &&
+                        view.state != MemberState::Paused;
+    if (counts) {
+      domain.push_back(view.member);
+    }
+  }
+  const auto key = HashText("reader " + settings_.failureDomain);
+  const auto order = RendezvousOrder(key, std::move(domain));
+  const auto rank = std::ranges::find(order, Self()) - order.begin();
+  return rank < static_cast<std::ptrdiff_t>(kReadersPerDomain);
+}
+
+auto Node::ReadListing() -> Task<bool>
+{
+  ++platformCalls_;
+  auto read = co_await platform_.ReadListing();
+  co_return leaf::try_handle_all(
+    [&]() -> leaf::result<bool> {
+      BOOST_LEAF_AUTO(listing, std::move(read));
+      board_.members.ApplyListing(listing);
+      return true;
+    },
+    [] { return false; });
+}
+
+auto Node::Bootstrap() -> Task<void>
+{
+  while (board_.documents.Version() == 0) {
+    const auto before = board_.documents.Current();
+    co_await ReadListing();
+    ++platformCalls_;
+    auto read = co_await platform_.ReadDocument(0, Millis{ 0 });
+    // Peers may know a newer document than a stale platform.
+    for (const auto& peer : RandomPeers(kBootstrapPeers)) {
+      const auto have = board_.documents.Version();
+      auto outcome = co_await Call(peer, DocumentPull{ have }, kRecheckWithin);
+      if (const auto* reply = std::get_if<DocumentReply>(&outcome.message)) {
+        board_.documents.OfferReply(*reply);
+      }
+    }
+    leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(document, std::move(read));
+        const auto result =
+          board_.documents.OfferText(document.text, document.version);
+        if (result == OfferResult::Refused) {
+          Event("document_refused").With("version", document.version).Warn();
+        }
+        return {};
+      },
+      [] {});
+    current_ = board_.documents.Version() != 0;
+    Adopt(before);
+    if (!current_) {
+      co_await Sleep(kRetryPeriod);
+    }
+  }
+}
+
+auto Node::ReaderLoop() -> Task<void>
+{
+  for (;;) {
+    if (!IsReader() || board_.documents.Version() == 0) {
+      co_await Sleep(kRetryPeriod);
+      continue;
+    }
+    const auto before = board_.documents.Current();
+    const auto have =
+      std::max(before->version, board_.documents.RefusedVersion());
+    ++platformCalls_;
+    auto read = co_await platform_.ReadDocument(have, kWatchWait);
+    const bool failed = leaf::try_handle_all(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_AUTO(document, std::move(read));
+        if (!document.changed) {
+          confirmedMillis_ = WallMillis(clock_.Wall());
+          return false;
+        }
+        const auto result =
+          board_.documents.OfferText(document.text, document.version);
+        if (result == OfferResult::Refused) {
+          for (const auto& error : board_.documents.RefusedErrors()) {
+            LOG(WARNING) << "event=document_refused version="
+                         << document.version << ' ' << ToText(error);
+          }
+        }
+        // An older document than the one in force: the platform is stale.
+        return result == OfferResult::NotNewer;
+      },
+      [] { return true; });
+    Adopt(before);
+    if (failed) {
+      co_await Sleep(kRetryPeriod);
+    }
+  }
+}
+
+auto Node::ListingLoop() -> Task<void>
+{
+  for (;;) {
+    co_await Sleep(kListingPeriod);
+    if (IsReader()) {
+      co_await ReadListing();
+    }
+  }
+}
+
+auto Node::TickMembers() -> void
+{
+  const auto actions = board_.members.Tick();
+  SendProbes(actions);
+  for (const auto& suspect : actions.confirm) {
+    Spawn(ConfirmSuspect(suspect));
+  }
+  const auto changes = board_.members.TakeChanges();
+  for (const auto& change : changes) {
+    auto event = Event("member_changed")
+                   .With("member", ToText(change.member))
+                   .With("from", ToText(change.from))
+                   .With("to", ToText(change.to))
+                   .With("restarted", change.restarted ? 1 : 0);
+    board_.journal.Add(event.Text());
+    event.Info();
+  }
+  if (!changes.empty()) {
+    handler_->OnMembers(changes);
+  }
+}
+
+auto Node::SendProbes(const MembershipActions& aActions) -> void
+{
+  for (const auto& [receiver, probe] : aActions.probes) {
+    Send(receiver, probe);
+  }
+}
+
+auto Node::ConfirmSuspect(Endpoint aSuspect) -> Task<void>
+{
+  if (!transport_->MayReach(aSuspect)) {
+    co_await Sleep(kConfirmWithin);
+    board_.members.Confirm(aSuspect, false, false);
+    co_return;
+  }
+  boost::beast::tcp_stream stream(co_await boost::asio::this_coro::executor);
+  stream.expires_after(kConfirmWithin);
+  const auto [error] = co_await stream.async_connect(
+    ToAsioTcp(aSuspect), boost::asio::as_tuple(boost::asio::use_awaitable));
+  const bool refused = error == boost::asio::error::connection_refused;
+  board_.members.Confirm(aSuspect, !error, refused);
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/runtime/platform_client.cpp
@@ -0,0 +1,137 @@
+#include "runtime/platform_client.h"
+
+#include "core/config.h"
+#include "runtime/bulk.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+
+#include <charconv>
+
+namespace damaskwalk {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr Millis kReadWithin{ 2000 };
+constexpr std::size_t kMaxDocumentBytes = 16 * 1024 * 1024;
+
+// "\"42\"" as an ETag gives 42.
+auto ParseVersion(std::string_view aEtag) -> DocumentVersion
+{
+  while (!aEtag.empty() && aEtag.front() == '"') {
+    aEtag.remove_prefix(1);
+  }
+  DocumentVersion version = 0;
+  std::from_chars(aEtag.data(), aEtag.data() + aEtag.size(), version);
+  return version;
+}
+
+auto ParseListing(const std::string& aText)
+  -> leaf::result<std::vector<ListedVm>>
+{
+  boost::system::error_code error;
+  const auto value = boost::json::parse(aText, error);
+  if (error || !value.is_array()) {
+    return leaf::new_error(PlatformError::BadAnswer);
+  }
+  std::vector<ListedVm> listing;
+  for (const auto& item : value.as_array()) {
+    const auto* object = item.if_object();
+    const auto* member = object ? object->if_contains("member") : nullptr;
+    if (!member || !member->is_string()) {
+      return leaf::new_error(PlatformError::BadAnswer);
+    }
+    const auto text = [object](const char* aKey) -> std::string {
+      const auto* field = object->if_contains(aKey);
+      return field && field->is_string() ? std::string(field->get_string())
+                                         : std::string();
+    };
+    const auto endpoint = ParseEndpoint(text("member"));
+    if (!endpoint) {
+      return leaf::new_error(PlatformError::BadAnswer);
+    }
+    const auto role = text("role") == "balancer" ? Role::Balancer : Role::Agent;
+    listing.push_back(
+      { *endpoint, role, text("failure_domain"), text("state") == "leaving" });
+  }
+  return listing;
+}
+
+} // namespace
+
+auto PlatformClient::Get(std::string aTarget, std::string aEtag, Millis aWithin)
+  -> asio::awaitable<Answer>
+{
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_after(kReadWithin);
+  const auto [connectError] =
+    co_await stream.async_connect(ToAsioTcp(platform_), kAwait);
+  if (connectError) {
+    co_return Answer{};
+  }
+  stream.expires_after(aWithin);
+  http::request<http::empty_body> request(http::verb::get, aTarget, 11);
+  request.set(http::field::host, ToText(platform_));
+  request.set(http::field::connection, "close");
+  if (!aEtag.empty()) {
+    request.set(http::field::if_none_match, aEtag);
+  }
+  const auto [writeError, written] =
+    co_await http::async_write(stream, request, kAwait);
+  if (writeError) {
+    co_return Answer{};
+  }
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxDocumentBytes);
+  const auto [readError, read] =
+    co_await http::async_read(stream, buffer, parser, kAwait);
+  if (readError) {
+    co_return Answer{};
+  }
+  const auto& response = parser.get();
+  co_return Answer{ static_cast<int>(response.result_int()),
+                    std::string(response[http::field::etag]),
+                    response.body() };
+}
+
+auto PlatformClient::ReadDocument(DocumentVersion aHave, Millis aWait)
+  -> asio::awaitable<leaf::result<PlatformDocument>>
+{
+  const auto target = "/v1/document?wait_ms=" + std::to_string(aWait.count());
+  const auto etag = "\"" + std::to_string(aHave) + "\"";
+  auto answer = co_await Get(target, etag, kReadWithin + aWait);
+  if (answer.status == 304) {
+    co_return PlatformDocument{ false, aHave, {} };
+  }
+  if (answer.status == 0 || answer.status >= 500) {
+    co_return leaf::new_error(PlatformError::Unreachable);
+  }
+  const auto version = ParseVersion(answer.etag);
+  if (answer.status != 200 || version == 0) {
+    co_return leaf::new_error(PlatformError::BadAnswer);
+  }
+  co_return PlatformDocument{ true, version, std::move(answer.body) };
+}
+
+auto PlatformClient::ReadListing()
+  -> asio::awaitable<leaf::result<std::vector<ListedVm>>>
+{
+  auto answer = co_await Get("/v1/vms", "", kReadWithin);
+  if (answer.status != 200) {
+    co_return leaf::new_error(PlatformError::Unreachable);
+  }
+  co_return ParseListing(answer.body);
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/runtime/platform_client.h
@@ -0,0 +1,58 @@
+#pragma once
+
+// Reads and watches the platform's configuration service over HTTP/1.1.
+
+#include "core/clock.h"
+#include "core/membership.h"
+#include "core/types.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/leaf/result.hpp>
+
+#include <string>
+#include <vector>
+
+namespace damaskwalk {
+
+enum class PlatformError : std::uint8_t
+{
+  Unreachable,
+  BadAnswer,
+};
+
+struct PlatformDocument
+{
+  bool changed = false;
+  DocumentVersion version = 0;
+  std::string text;
+};
+
+class PlatformClient
+{
+public:
+  explicit PlatformClient(const Endpoint& aPlatform)
+    : platform_(aPlatform)
+  {
+  }
+
+  // Reads the document; with a wait, the service answers at a change or when
+  // the wait has passed.
+  auto ReadDocument(DocumentVersion aHave, Millis aWait)
+    -> boost::asio::awaitable<boost::leaf::result<PlatformDocument>>;
+  auto ReadListing()
+    -> boost::asio::awaitable<boost::leaf::result<std::vector<ListedVm>>>;
+
+private:
+  struct Answer
+  {
+    int status = 0; // 0: unreachable
+    std::string etag;
+    std::string body;
+  };
+  auto Get(std::string aTarget, std::string aEtag, Millis aWithin)
+    -> boost::asio::awaitable<Answer>;
+
+  Endpoint platform_;
+};
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/runtime/transport.h
@@ -0,0 +1,38 @@
+#pragma once
+
+// Sends datagrams. One interface, one file per implementation.
+
+#include "core/clock.h"
+#include "core/types.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace damaskwalk {
+
+class Transport
+{
+public:
+  virtual ~Transport() = default;
+  // Sends or drops; never blocks. Thread safe.
+  virtual auto Send(const Endpoint& aTo, std::string_view aBytes) -> void = 0;
+  // False when a fault plan cuts this process off from the endpoint.
+  virtual auto MayReach(const Endpoint& aPeer) const -> bool = 0;
+  // Reads the fault plan again, where there is one.
+  virtual auto Refresh() -> void {}
+};
+
+auto MakeTransportUdp(boost::asio::ip::udp::socket& aSocket)
+  -> std::unique_ptr<Transport>;
+
+// Drops what a file of endpoints, one a line, names. For failure tests.
+auto MakeTransportCut(std::unique_ptr<Transport> aInner, std::string aFile)
+  -> std::unique_ptr<Transport>;
+
+auto ToAsioUdp(const Endpoint& aEndpoint) -> boost::asio::ip::udp::endpoint;
+auto FromAsioUdp(const boost::asio::ip::udp::endpoint& aEndpoint) -> Endpoint;
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/runtime/transport_cut.cpp
@@ -0,0 +1,63 @@
+#include "runtime/transport.h"
+
+#include <fstream>
+#include <mutex>
+#include <shared_mutex>
+#include <unordered_set>
+
+namespace damaskwalk {
+
+namespace {
+
+class TransportCut final : public Transport
+{
+public:
+  TransportCut(std::unique_ptr<Transport> aInner, std::string aFile)
+    : inner_(std::move(aInner))
+    , file_(std::move(aFile))
+  {
+    Refresh();
+  }
+
+  auto Send(const Endpoint& aTo, std::string_view aBytes) -> void override
+  {
+    if (MayReach(aTo)) {
+      inner_->Send(aTo, aBytes);
+    }
+  }
+
+  auto MayReach(const Endpoint& aPeer) const -> bool override
+  {
+    const std::shared_lock lock(mutex_);
+    return !cut_.contains(aPeer);
+  }
+
+  auto Refresh() -> void override
+  {
+    std::unordered_set<Endpoint, KeyHash> cut;
+    std::ifstream file(file_);
+    for (std::string line; std::getline(file, line);) {
+      if (const auto endpoint = ParseEndpoint(line)) {
+        cut.insert(*endpoint);
+      }
+    }
+    const std::unique_lock lock(mutex_);
+    cut_ = std::move(cut);
+  }
+
+private:
+  std::unique_ptr<Transport> inner_;
+  std::string file_;
+  mutable std::shared_mutex mutex_;
+  std::unordered_set<Endpoint, KeyHash> cut_;
+};
+
+} // namespace
+
+auto MakeTransportCut(std::unique_ptr<Transport> aInner, std::string aFile)
+  -> std::unique_ptr<Transport>
+{
+  return std::make_unique<TransportCut>(std::move(aInner), std::move(aFile));
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/standins/callers.cpp
@@ -0,0 +1,505 @@
+// Stand-in for callers: many flows in one process, some of them heavy. It
+// writes down what it asked, what came back, and how each flow ended.
+//
+// Control datagrams: "think LOAD MILLIS", "stop" (closes every flow).
+
+#include "core/config.h"
+#include "runtime/caller_flow.h"
+#include "runtime/transport.h"
+
+#include <SimpleIni.h>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <docopt/docopt.h>
+
+#include <poll.h>
+
+#include <array>
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <random>
+#include <sstream>
+#include <unordered_map>
+
+namespace {
+
+using namespace damaskwalk;
+namespace asio = boost::asio;
+namespace leaf = boost::leaf;
+using asio::ip::udp;
+
+constexpr const char* kUsage = R"(standin-callers
+
+Usage:
+  standin-callers --settings=FILE --history=FILE [--seed=N]
+
+Options:
+  --settings=FILE  Loads, each in a section [load NAME].
+  --history=FILE   Where requests, answers and flows are written down.
+  --seed=N         Seed [default: 1].
+)";
+
+constexpr Millis kSlack{ 400 };
+constexpr Millis kReopenAfter{ 200 };
+
+std::atomic<bool> gStop{ false };
+
+struct Load
+{
+  std::string name;
+  std::string service;
+  std::vector<Endpoint> addresses;
+  std::string kind = "request"; // or "feed"
+  std::string method = "GET";
+  std::string path = "/";
+  int flows = 1;
+  int callers = 1;   // names shared by the flows
+  double think = 50; // mean milliseconds between answer and next request
+  double perFlow =
+    0; // requests of one flow before the caller closes it; 0: no end
+  bool once = false; // may not be repeated
+  double repeat = 0; // share of requests sent again with the same key
+  Millis deadline{ 3000 };
+  Millis openFor{ 1000 }; // flows open over this time
+  bool tokens = true;
+  double sampled = 0; // share of requests with a trace
+};
+
+struct Client
+{
+  Load* load = nullptr;
+  int index = 0;
+  FlowKey key;
+  std::unique_ptr<CallerFlow> flow;
+  bool established = false;
+  bool closing = false;
+  TimePoint nextAt;
+  std::uint64_t done = 0;
+  // The open request.
+  std::string id;
+  std::string idemKey;
+  std::int64_t issued = 0;
+  TimePoint sentAt;
+  bool repeated = false;
+  // A request to send again on the next flow.
+  std::string againKey;
+  std::int64_t againIssued = 0;
+};
+
+class Callers
+{
+public:
+  Callers(const std::string& aSettings,
+          const std::string& aHistory,
+          std::uint64_t aSeed)
+    : random_(aSeed)
+    , history_(aHistory, std::ios::app)
+    , socket_(io_)
+    , control_(io_)
+  {
+    CSimpleIniA ini(true, false, false);
+    ini.LoadFile(aSettings.c_str());
+    const auto endpoint = [&ini](const char* aKey) {
+      return *ParseEndpoint(ini.GetValue("callers", aKey, ""));
+    };
+    fabric_ = ToAsioUdp(endpoint("fabric"));
+    Bind(socket_, endpoint("listen"));
+    Bind(control_, endpoint("control"));
+    boost::system::error_code ignored;
+    socket_.set_option(udp::socket::receive_buffer_size(8 << 20), ignored);
+    CSimpleIniA::TNamesDepend sections;
+    ini.GetAllSections(sections);
+    sections.sort(CSimpleIniA::Entry::LoadOrder());
+    for (const auto& section : sections) {
+      const std::string name = section.pItem;
+      if (name.starts_with("load ")) {
+        loads_.push_back(ReadLoad(ini, name));
+      }
+    }
+    MakeClients();
+  }
+
+  auto Run() -> void
+  {
+    std::array<pollfd, 2> polls = {
+      pollfd{ socket_.native_handle(), POLLIN, 0 },
+      pollfd{ control_.native_handle(), POLLIN, 0 }
+    };
+    while (!gStop && !finished_) {
+      ::poll(polls.data(), polls.size(), 1);
+      ReadControl();
+      ReadFrames();
+      if (clock_.Now() - polled_ >= Millis{ 2 }) {
+        polled_ = clock_.Now();
+        for (auto& client : clients_) {
+          Step(client);
+        }
+      }
+    }
+    Note() << "event=end t=" << Wall() << "\n";
+    history_.flush();
+  }
+
+private:
+  static auto Bind(udp::socket& aSocket, const Endpoint& aEndpoint) -> void
+  {
+    aSocket.open(udp::v4());
+    aSocket.bind(ToAsioUdp(aEndpoint));
+    aSocket.non_blocking(true);
+  }
+
+  static auto ReadLoad(const CSimpleIniA& aIni, const std::string& aSection)
+    -> Load
+  {
+    const auto text = [&](const char* aKey, const char* aDefault) {
+      return std::string(aIni.GetValue(aSection.c_str(), aKey, aDefault));
+    };
+    Load load;
+    load.name = aSection.substr(5);
+    load.service = text("service", "");
+    std::istringstream list(text("addresses", ""));
+    for (std::string item; std::getline(list, item, ',');) {
+      load.addresses.push_back(*ParseEndpoint(item));
+    }
+    load.kind = text("kind", "request");
+    load.method = text("method", "GET");
+    load.path = text("path", "/");
+    load.flows = std::stoi(text("flows", "1"));
+    load.callers = std::stoi(text("callers", "1"));
+    load.think = std::stod(text("think_ms", "50"));
+    load.perFlow = std::stod(text("requests_per_flow", "0"));
+    load.once = text("once", "no") == "yes";
+    load.repeat = std::stod(text("repeat", "0"));
+    load.deadline = Millis{ std::stol(text("deadline_ms", "3000")) };
+    load.openFor = Millis{ std::stol(text("open_for_ms", "1000")) };
+    load.tokens = text("tokens", "yes") == "yes";
+    load.sampled = std::stod(text("sampled", "0"));
+    return load;
+  }
+
+  auto MakeClients() -> void
+  {
+    std::size_t total = 0;
+    for (const auto& load : loads_) {
+      total += static_cast<std::size_t>(load.flows);
+    }
+    clients_.resize(total);
+    std::size_t next = 0;
+    for (auto& load : loads_) {
+      for (int i = 0; i < load.flows; ++i) {
+        auto& client = clients_[next++];
+        client.load = &load;
+        client.index = i;
+        client.nextAt = clock_.Now() + load.openFor * i / load.flows;
+      }
+    }
+  }
+
+  auto Note() -> std::ofstream& { return history_; }
+  auto Wall() const -> std::int64_t { return WallMillis(clock_.Wall()); }
+  auto Draw() -> double
+  {
+    return std::uniform_real_distribution<double>(0, 1)(random_);
+  }
+
+  auto ReadControl() -> void
+  {
+    std::array<char, 1024> bytes{};
+    boost::system::error_code error;
+    const auto count = control_.receive(asio::buffer(bytes), 0, error);
+    if (error) {
+      return;
+    }
+    std::istringstream text(std::string(bytes.data(), count));
+    std::string verb;
+    std::string name;
+    text >> verb;
+    if (verb == "stop") {
+      for (auto& client : clients_) {
+        if (client.flow) {
+          Note() << "event=flow_closed flow=" << ToText(client.key)
+                 << " cause=caller t=" << Wall() << "\n";
+          client.flow->Close();
+          Stream::Frames out;
+          client.flow->Poll(clock_.Now(), out);
+          Send(out);
+        }
+      }
+      finished_ = true;
+      clients_.clear();
+      byFlow_.clear();
+    } else if (verb == "think") {
+      double think = 0;
+      text >> name >> think;
+      for (auto& load : loads_) {
+        load.think = load.name == name ? think : load.think;
+      }
+    } else if (verb == "mark") {
+      text >> name;
+      Note() << "event=mark name=" << name << " t=" << Wall() << "\n";
+    }
+  }
+
+  auto Send(const Stream::Frames& aFrames) -> void
+  {
+    for (const auto& frame : aFrames) {
+      boost::system::error_code ignored;
+      socket_.send_to(asio::buffer(EncodeFrame(frame)), fabric_, 0, ignored);
+    }
+  }
+
+  auto ReadFrames() -> void
+  {
+    std::array<char, kMaxDatagramBytes> bytes{};
+    for (int i = 0; i < 512; ++i) {
+      boost::system::error_code error;
+      const auto count = socket_.receive(asio::buffer(bytes), 0, error);
+      if (error) {
+        return;
+      }
+      leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+          BOOST_LEAF_AUTO(frame, DecodeFrame({ bytes.data(), count }));
+          const auto found = byFlow_.find({ frame.destination, frame.source });
+          if (found != byFlow_.end()) {
+            auto& client = clients_[found->second];
+            Stream::Frames out;
+            client.flow->Receive(frame, clock_.Now(), out);
+            Send(out);
+            Step(client);
+          }
+          return {};
+        },
+        [] {});
+    }
+  }
+
+  auto Open(Client& aClient) -> void
+  {
+    ++opened_;
+    const auto& load = *aClient.load;
+    aClient.key.caller = { 0x0A090000U + (opened_ >> 14),
+                           static_cast<std::uint16_t>(1024 +
+                                                      (opened_ & 0x3FFF)) };
+    aClient.key.address = load.addresses[opened_ % load.addresses.size()];
+    CallerFlowInit init;
+    init.flow = aClient.key;
+    init.initialSequence = static_cast<std::uint32_t>(random_());
+    init.echoStamps = load.tokens;
+    aClient.flow = std::make_unique<CallerFlow>(init, clock_.Now());
+    aClient.established = false;
+    aClient.closing = false;
+    aClient.done = 0;
+    aClient.id.clear();
+    byFlow_[aClient.key] = static_cast<std::size_t>(&aClient - clients_.data());
+    Note() << "event=flow_open flow=" << ToText(aClient.key)
+           << " service=" << load.service << " load=" << load.name
+           << " t=" << Wall() << "\n";
+    aClient.nextAt = clock_.Now();
+  }
+
+  auto CallerName(const Client& aClient) const -> std::string
+  {
+    const auto& load = *aClient.load;
+    return load.name + "-" + std::to_string(aClient.index % load.callers);
+  }
+
+  auto Ask(Client& aClient) -> void
+  {
+    const auto& load = *aClient.load;
+    const bool again = !aClient.againKey.empty();
+    aClient.id = load.name + "-" + std::to_string(++requests_);
+    aClient.issued = again ? aClient.againIssued : Wall();
+    aClient.idemKey = again ? aClient.againKey : "";
+    if (load.once && !again) {
+      aClient.idemKey = "key-" + aClient.id;
+    }
+    aClient.repeated = again;
+    aClient.againKey.clear();
+    aClient.sentAt = clock_.Now();
+    CallerRequest request;
+    request.method = load.method;
+    request.path = load.path;
+    request.host = load.service;
+    request.caller = CallerName(aClient);
+    request.requestId = aClient.id;
+    request.key = aClient.idemKey;
+    request.issuedMillis = aClient.issued;
+    request.deadline = load.deadline;
+    if (Draw() < load.sampled) {
+      request.trace = { random_() | 1, random_() | 1, 0 };
+    }
+    aClient.flow->Send(MakeRequestText(request), request.trace);
+    Note() << "event=request id=" << aClient.id << " key=" << aClient.idemKey
+           << " service=" << load.service << " load=" << load.name
+           << " caller=" << request.caller << " flow=" << ToText(aClient.key)
+           << " feed=" << (load.kind == "feed" ? 1 : 0)
+           << " once=" << (load.once ? 1 : 0) << " t=" << Wall() << "\n";
+  }
+
+  auto Step(Client& aClient) -> void
+  {
+    const auto now = clock_.Now();
+    if (!aClient.flow) {
+      if (now >= aClient.nextAt) {
+        Open(aClient);
+      }
+      return;
+    }
+    TakeIn(aClient);
+    auto& flow = *aClient.flow;
+    if (flow.State() == StreamState::Established && !aClient.established) {
+      aClient.established = true;
+      Note() << "event=flow_established flow=" << ToText(aClient.key)
+             << " t=" << Wall() << "\n";
+    }
+    const bool ready = aClient.established && aClient.id.empty() &&
+                       !aClient.closing && now >= aClient.nextAt &&
+                       flow.State() == StreamState::Established;
+    if (ready) {
+      Ask(aClient);
+    }
+    const bool overdue = !aClient.id.empty() && aClient.load->kind != "feed" &&
+                         now - aClient.sentAt > aClient.load->deadline + kSlack;
+    if (overdue) {
+      NoteAnswer(aClient, { 0, "no_answer", "", aClient.id, "" });
+      CloseByCaller(aClient);
+    }
+    Stream::Frames out;
+    flow.Poll(now, out);
+    Send(out);
+    const bool asked =
+      flow.RemoteClosed() && flow.State() != StreamState::Closed;
+    if (asked) {
+      flow.Close();
+    }
+    if (flow.State() == StreamState::Closed) {
+      NoteEnd(aClient);
+    }
+  }
+
+  auto TakeIn(Client& aClient) -> void
+  {
+    while (auto answer = aClient.flow->TakeAnswer()) {
+      NoteAnswer(aClient, *answer);
+    }
+    for (const auto& event : aClient.flow->TakeEvents()) {
+      Note() << "event=feed flow=" << ToText(aClient.key) << " id=" << event.id
+             << " service=" << event.data << " t=" << Wall() << "\n";
+    }
+  }
+
+  auto NoteAnswer(Client& aClient, const CallerAnswer& aAnswer) -> void
+  {
+    const auto& load = *aClient.load;
+    if (aClient.id.empty()) {
+      Note() << "event=stray_answer flow=" << ToText(aClient.key)
+             << " id=" << aAnswer.requestId << " t=" << Wall() << "\n";
+      return;
+    }
+    const bool ran = aAnswer.outcome == "answered";
+    const auto& body = aAnswer.body;
+    // The recorded answer of an earlier attempt names that attempt's request.
+    const auto inside = ran && aAnswer.status == 200
+                          ? body.substr(body.find(";request=") + 9)
+                          : "";
+    const auto answerFor = ran && aAnswer.status == 200
+                             ? inside.substr(0, inside.find(';'))
+                             : aAnswer.requestId;
+    const bool whole =
+      !ran || aAnswer.status != 200 || body.ends_with(";end=" + answerFor);
+    const bool right = aAnswer.requestId == aClient.id || aClient.repeated;
+    const auto from = body.starts_with("service=")
+                        ? body.substr(8, body.find(';') - 8)
+                        : load.service;
+    const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(
+      clock_.Now() - aClient.sentAt);
+    Note() << "event=answer id=" << aClient.id << " key=" << aClient.idemKey
+           << " caller=" << CallerName(aClient) << " load=" << load.name
+           << " outcome=" << aAnswer.outcome << " status=" << aAnswer.status
+           << " cause=" << aAnswer.cause << " whole=" << (whole ? 1 : 0)
+           << " right=" << (right ? 1 : 0) << " service=" << from
+           << " wanted=" << load.service << " micros=" << latency.count()
+           << " t=" << Wall() << "\n";
+    const bool refused = aAnswer.outcome == "not_run";
+    const bool repeats =
+      load.once && (aAnswer.outcome != "answered" || Draw() < load.repeat) &&
+      !aClient.repeated;
+    if (repeats) {
+      aClient.againKey = aClient.idemKey;
+      aClient.againIssued = aClient.issued;
+    }
+    aClient.id.clear();
+    ++aClient.done;
+    const auto wait = refused ? std::max(load.think, 100.0) : load.think;
+    std::exponential_distribution<double> think(1.0 / std::max(wait, 0.01));
+    aClient.nextAt =
+      clock_.Now() + std::chrono::microseconds(
+                       static_cast<std::int64_t>(think(random_) * 1000));
+    const bool last = load.perFlow > 0 && aClient.done >= load.perFlow;
+    if (last || (repeats && aClient.load->perFlow > 0)) {
+      CloseByCaller(aClient);
+    }
+  }
+
+  auto CloseByCaller(Client& aClient) -> void
+  {
+    if (!aClient.closing) {
+      aClient.closing = true;
+      aClient.id.clear();
+      aClient.flow->Close();
+    }
+  }
+
+  auto NoteEnd(Client& aClient) -> void
+  {
+    const auto cause = aClient.closing ? "caller"
+                       : aClient.flow->Cause() == CloseCause::Reset
+                         ? (aClient.established ? "reset" : "refused")
+                       : aClient.flow->Cause() == CloseCause::Timeout
+                         ? "timeout"
+                         : "service";
+    Note() << "event=flow_closed flow=" << ToText(aClient.key)
+           << " cause=" << cause << " load=" << aClient.load->name
+           << " established=" << (aClient.established ? 1 : 0)
+           << " t=" << Wall() << "\n";
+    const bool open = !aClient.id.empty() && aClient.load->kind != "feed";
+    if (open) {
+      NoteAnswer(aClient, { 0, "no_answer", "flow_ended", aClient.id, "" });
+    }
+    byFlow_.erase(aClient.key);
+    aClient.flow.reset();
+    aClient.nextAt = clock_.Now() + kReopenAfter;
+  }
+
+  asio::io_context io_;
+  std::mt19937_64 random_;
+  std::ofstream history_;
+  udp::socket socket_;
+  udp::socket control_;
+  udp::endpoint fabric_;
+  SystemClock clock_;
+  std::vector<Load> loads_;
+  std::vector<Client> clients_;
+  std::unordered_map<FlowKey, std::size_t, KeyHash> byFlow_;
+  TimePoint polled_;
+  std::uint32_t opened_ = 0;
+  std::uint64_t requests_ = 0;
+  bool finished_ = false;
+};
+
+} // namespace
+
+auto main(int aCount, char** aArguments) -> int
+{
+  auto options =
+    docopt::docopt(kUsage, { aArguments + 1, aArguments + aCount }, true);
+  std::signal(SIGTERM, [](int) { gStop = true; });
+  Callers callers(options["--settings"].asString(),
+                  options["--history"].asString(),
+                  static_cast<std::uint64_t>(options["--seed"].asLong()));
+  callers.Run();
+  return 0;
+}
--- /dev/null
+++ b/standins/platform.cpp
@@ -0,0 +1,170 @@
+// Stand-in for the platform's configuration service: read and watch over HTTP
+// with ETags, and a lagging list of VMs. PUT requests are the test's hand, not
+// part of the service that the system sees.
+//
+//   GET /v1/document?wait_ms=N   If-None-Match: "VERSION" waits for a newer one
+//   GET /v1/vms                  JSON list
+//   GET /calls                   number of calls so far (for the test)
+//   PUT /document                publishes a text as the next version
+//   PUT /vms                     sets the list, seen after the lag
+//   PUT /mode?is=ok|down|stale|slow   stale serves what stood at that moment
+
+#include "core/clock.h"
+#include "http_server.h"
+
+#include <docopt/docopt.h>
+
+#include <iostream>
+
+namespace {
+
+using namespace damaskwalk;
+using namespace damaskwalk::standin;
+
+constexpr const char* kUsage = R"(standin-platform
+
+Usage:
+  standin-platform --listen=ADDR [--list-lag=MS] [--rate=N]
+
+Options:
+  --listen=ADDR  Where to serve.
+  --list-lag=MS  Lag of the VM list [default: 300].
+  --rate=N       Calls a second; more are refused [default: 2000].
+)";
+
+struct Published
+{
+  std::uint64_t version = 0;
+  std::string text;
+};
+
+class Platform
+{
+public:
+  Platform(Millis aLag, double aRate)
+    : lag_(aLag)
+    , rate_(aRate)
+  {
+  }
+
+  auto Handle(Stream& aStream, const HttpIn& aRequest, HttpOut& aResponse)
+    -> asio::awaitable<bool>
+  {
+    const auto target = std::string(aRequest.target());
+    if (aRequest.method() == http::verb::put) {
+      co_await Put(target, aRequest.body());
+      co_return false;
+    }
+    if (target.starts_with("/calls")) {
+      aResponse.body() = std::to_string(calls_);
+      co_return false;
+    }
+    if (!Admit()) {
+      aResponse.result(http::status::too_many_requests);
+      co_return false;
+    }
+    if (mode_ == "down") {
+      aStream.close();
+      co_return true;
+    }
+    if (mode_ == "slow") {
+      co_await Sleep(Millis{ 1500 });
+    }
+    if (target.starts_with("/v1/vms")) {
+      aResponse.body() = listing_;
+    } else {
+      co_await GetDocument(target, aRequest, aResponse);
+    }
+    if (mode_ == "down") {
+      aStream.close();
+      co_return true;
+    }
+    co_return false;
+  }
+
+private:
+  auto Admit() -> bool
+  {
+    ++calls_;
+    const auto now = clock_.Now();
+    const auto span = std::chrono::duration<double>(now - filled_).count();
+    tokens_ = std::min(tokens_ + span * rate_, rate_);
+    filled_ = now;
+    if (tokens_ < 1) {
+      return false;
+    }
+    tokens_ -= 1;
+    return true;
+  }
+
+  auto Visible() const -> const Published&
+  {
+    return mode_ == "stale" ? stale_ : current_;
+  }
+
+  auto GetDocument(const std::string& aTarget,
+                   const HttpIn& aRequest,
+                   HttpOut& aResponse) -> asio::awaitable<void>
+  {
+    const auto wait = std::stol(Parameter(aTarget, "wait_ms", "0"));
+    const auto end = clock_.Now() + Millis{ wait };
+    const auto match = std::string(aRequest[http::field::if_none_match]);
+    const auto tag = [this] {
+      return "\"" + std::to_string(Visible().version) + "\"";
+    };
+    while (match == tag() && clock_.Now() < end && mode_ != "down") {
+      co_await Sleep(Millis{ 10 });
+    }
+    aResponse.set(http::field::etag, tag());
+    if (match == tag()) {
+      aResponse.result(http::status::not_modified);
+    } else if (Visible().version == 0) {
+      aResponse.result(http::status::not_found);
+    } else {
+      aResponse.body() = Visible().text;
+    }
+  }
+
+  auto Put(const std::string& aTarget, const std::string& aBody)
+    -> asio::awaitable<void>
+  {
+    if (aTarget.starts_with("/document")) {
+      current_ = { current_.version + 1, aBody };
+    } else if (aTarget.starts_with("/vms")) {
+      co_await Sleep(lag_);
+      listing_ = aBody;
+    } else {
+      mode_ = Parameter(aTarget, "is", "ok");
+      if (mode_ == "stale") {
+        stale_ = current_;
+      }
+    }
+  }
+
+  Millis lag_;
+  double rate_;
+  double tokens_ = 0;
+  TimePoint filled_;
+  SystemClock clock_;
+  Published current_;
+  Published stale_;
+  std::string listing_ = "[]";
+  std::string mode_ = "ok";
+  std::uint64_t calls_ = 0;
+};
+
+} // namespace
+
+auto main(int aCount, char** aArguments) -> int
+{
+  auto options =
+    docopt::docopt(kUsage, { aArguments + 1, aArguments + aCount }, true);
+  Platform platform(Millis{ options["--list-lag"].asLong() },
+                    static_cast<double>(options["--rate"].asLong()));
+  Server server(*ParseEndpoint(options["--listen"].asString()),
+                [&platform](auto& aStream, const auto& aIn, auto& aOut) {
+                  return platform.Handle(aStream, aIn, aOut);
+                });
+  server.Run();
+  return 0;
+}
