Spread requests by measured work; hand key homes over and back

Cause: a report of busy slots was believed for a whole heartbeat, so fast servers looked full, and the agent counted the way to the server as work. Utilisation now counts finished work without the round trip, stale busy slots are taken as ending, and a request refused for lack of a slot keeps its turn. Key homes ask their peers when they regain a lease.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -13,7 +13,7 @@
 constexpr std::uint64_t kTicksPerRegister = 5;
 constexpr std::size_t kFactsPerHeartbeat = 6;
 constexpr std::size_t kEventsPerAnswer = 200;
-constexpr Millis kKeyPullWithin{ 1000 };
+constexpr Millis kKeyPullWithin{ 400 };
 constexpr Millis kDrainPoll{ 20 };
 constexpr Millis kStragglers{ 400 };
 
@@ -81,7 +81,9 @@
     co_return handover_.Take(*handover);
   }
   if (const auto* pull = std::get_if<KeyPull>(&message)) {
-    co_return board_.keys.Export(sender, pull->targetsDigest);
+    co_return pull->rejoin != 0
+      ? board_.keys.Yield(sender, pull->targetsDigest)
+      : board_.keys.Export(sender, pull->targetsDigest);
   }
   if (const auto* resign = std::get_if<KeyResign>(&message)) {
     board_.keys.TakeResignation(sender, resign->targetsDigest, resign->roles);
@@ -160,8 +162,9 @@
     handover_.Tick();
   }
   requests_.Tick();
-  if (!pullingKeys_ && !board_.keys.PullsWanted().empty()) {
-    pullingKeys_ = true;
+  const bool pulls =
+    !board_.keys.PullsWanted().empty() || !board_.keys.RejoinsWanted().empty();
+  if (pulls && !pullingKeys_.exchange(true)) {
     node_.Spawn(PullKeys());
   }
 }
@@ -170,9 +173,8 @@
 {
   const auto document = node_.Board().documents.Current();
   const auto* own = board_.OwnService(*document);
+  KeyPull pull{ own ? own->id : ServiceId{}, board_.keys.TargetsDigest(), 0 };
   for (const auto& former : board_.keys.PullsWanted()) {
-    const KeyPull pull{ own ? own->id : ServiceId{},
-                        board_.keys.TargetsDigest() };
     auto outcome = co_await node_.Call(former, pull, kKeyPullWithin);
     const auto* reply = std::get_if<KeyPullReply>(&outcome.message);
     if (outcome.status == CallStatus::Replied && reply &&
@@ -180,13 +182,25 @@
       board_.keys.Import(former, *reply);
     }
   }
+  pull.rejoin = 1;
+  for (const auto& peer : board_.keys.RejoinsWanted()) {
+    auto outcome = co_await node_.Call(peer, pull, kKeyPullWithin);
+    const auto* reply = std::get_if<KeyPullReply>(&outcome.message);
+    const bool replied = outcome.status == CallStatus::Replied && reply;
+    board_.keys.ImportRejoin(peer, replied ? *reply : KeyPullReply{});
+  }
   co_await node_.Sleep(kDrainPoll);
   pullingKeys_ = false;
 }
 
-auto Agent::OnDocument(DocumentPtr, DocumentPtr aNow) -> void
+auto Agent::OnDocument(DocumentPtr aBefore, DocumentPtr aNow) -> void
 {
   const auto* own = board_.OwnService(*aNow);
+  const auto* former = board_.OwnService(*aBefore);
+  if (!own && former) {
+    // Removed: what it keeps still goes to the targets that remain.
+    own = aNow->FindById(former->id);
+  }
   std::vector<Endpoint> targets;
   if (own) {
     for (const auto& backend : own->backends) {
--- a/src/agent/board.cpp
+++ b/src/agent/board.cpp
@@ -3,6 +3,7 @@
 #include "core/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace damaskwalk {
 
@@ -79,7 +80,12 @@
       if (known) {
         const auto& peer = found->second;
         candidate.limit = std::max(peer.load.limit, 1U);
-        candidate.busy = std::max(peer.load.busy, peer.dispatched);
+        // What was busy at the report has been ending since.
+        const auto age = std::chrono::duration<double>(now - peer.at).count();
+        const auto service = std::max(peer.load.serviceMicros, 100U) / 1e6;
+        const auto still = peer.load.busy * std::exp(-age / service);
+        candidate.busy = std::max(
+          static_cast<std::uint32_t>(std::lround(still)), peer.dispatched);
         candidate.utilisation = peer.load.utilisation / 1e6 + peer.added;
         candidate.serviceSeconds = std::max(peer.load.serviceMicros, 1U) / 1e6;
         candidate.flows = peer.load.flows + peer.placed;
--- a/src/agent/executor.cpp
+++ b/src/agent/executor.cpp
@@ -139,18 +139,22 @@
   co_return reply;
 }
 
-auto Executor::Settle(const ExecuteReply& aReply, int aStatus, Millis aTook)
-  -> void
+auto Executor::Settle(const ExecuteReply& aReply,
+                      int aStatus,
+                      std::chrono::microseconds aTook) -> void
 {
+  const auto work =
+    std::max(aTook - std::chrono::microseconds(roundTripMicros_), aTook / 10);
+  const auto now = board_.Now();
   const std::lock_guard lock(board_.admission.mutex);
   auto& slots = board_.admission.slots;
-  slots.Release(board_.Now());
+  slots.Release(now);
   if (aReply.outcome == Outcome::Answered) {
-    slots.Completed(aTook, aStatus < 500);
+    slots.Completed(work, aStatus < 500, now);
   } else if (aReply.outcome == Outcome::NotRun) {
     slots.Shed();
   } else {
-    slots.Completed(aTook, false);
+    slots.Completed(work, false, now);
     slots.Shed();
   }
 }
@@ -201,7 +205,8 @@
       }
     }
   }
-  const auto took = std::chrono::duration_cast<Millis>(board_.Now() - start);
+  const auto took =
+    std::chrono::duration_cast<std::chrono::microseconds>(board_.Now() - start);
   Settle(reply, status, took);
   co_return reply;
 }
@@ -238,7 +243,18 @@
     if (!own) {
       continue;
     }
+    const auto asked = board_.Now();
     const auto health = co_await ReadHealth(own->server);
+    const auto roundTrip =
+      std::chrono::duration_cast<std::chrono::microseconds>(board_.Now() -
+                                                            asked)
+        .count();
+    if (health) {
+      const auto before = roundTripMicros_.load();
+      roundTripMicros_ =
+        before == 0 ? roundTrip
+                    : before + (std::min(roundTrip, before * 3) - before) / 5;
+    }
     if (!health) {
       if (++faults == kHealthFaults) {
         board_.backend.reachable = false;
--- a/src/agent/executor.h
+++ b/src/agent/executor.h
@@ -33,7 +33,9 @@
   auto MarkSeen(const AttemptId& aAttempt) -> bool;
   auto RunOnBackend(Endpoint aServer, ExecuteRequest aRequest)
     -> Task<ExecuteReply>;
-  auto Settle(const ExecuteReply& aReply, int aStatus, Millis aTook) -> void;
+  auto Settle(const ExecuteReply& aReply,
+              int aStatus,
+              std::chrono::microseconds aTook) -> void;
   auto ReadHealth(Endpoint aServer) -> Task<std::optional<std::string>>;
 
   AgentBoard& board_;
@@ -41,6 +43,8 @@
   std::unordered_set<AttemptId, KeyHash> seen_;
   std::deque<Seen> seenOrder_;
   std::atomic<std::size_t> running_{ 0 };
+  // Mean way to the backend server and back, by its health reads.
+  std::atomic<std::int64_t> roundTripMicros_{ 0 };
   prometheus::Counter& refused_;
   prometheus::Histogram& seconds_;
 };
--- a/src/agent/requests.cpp
+++ b/src/agent/requests.cpp
@@ -394,9 +394,11 @@
   } else if (MayRetry(*request, reply.outcome)) {
     retries_.Increment();
     const bool full = reply.cause == "no_slot" || reply.cause == "leaving";
-    co_await Retry(request,
-                   full && request->tries <= 2 ? Millis{ 1 }
-                                               : Backoff(request->tries));
+    if (full) {
+      RequeueFirst(request);
+    } else {
+      co_await Retry(request, Backoff(request->tries));
+    }
   } else {
     GiveUp(request, reply.outcome, reply.cause);
   }
@@ -415,7 +417,7 @@
   }
   // What never reached a backend server costs it nothing.
   if (aOutcome == Outcome::NotRun) {
-    return aRequest.tries < kMaxTries * 4;
+    return true;
   }
   if (aRequest.tries >= kMaxTries) {
     return false;
@@ -452,6 +454,23 @@
   }
 }
 
+// The chosen server had no slot after all: the request keeps its turn.
+auto RequestController::RequeueFirst(const RequestPtr& aRequest) -> void
+{
+  if (!SetPhase(*aRequest, FlowPhase::Waiting)) {
+    GiveUp(aRequest, Outcome::NotRun, "flow_gone");
+    return;
+  }
+  const std::lock_guard lock(board_.admission.mutex);
+  board_.admission.requests[aRequest->id] = aRequest;
+  board_.admission.queue.PushFront({ aRequest->id,
+                                     aRequest->http.caller,
+                                     1,
+                                     aRequest->kind.priority,
+                                     aRequest->deadline,
+                                     board_.Now() });
+}
+
 auto RequestController::TellHome(RequestPtr aRequest,
                                  Outcome aOutcome,
                                  std::string aText) -> Task<void>
--- a/src/agent/requests.h
+++ b/src/agent/requests.h
@@ -39,6 +39,7 @@
   auto Run(Dispatch aDispatch) -> Task<void>;
   auto RunOnce(const Dispatch& aDispatch) -> Task<ExecuteReply>;
   auto Retry(RequestPtr aRequest, Millis aBackoff) -> Task<void>;
+  auto RequeueFirst(const RequestPtr& aRequest) -> void;
   auto MayRetry(const Request& aRequest, Outcome aOutcome) -> bool;
   auto Backoff(std::uint32_t aTries) -> Millis;
   auto Finish(const RequestPtr& aRequest,
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -215,7 +215,7 @@
 
 SlotGauge::SlotGauge(std::uint32_t aSlots, TimePoint aNow)
   : slots_(aSlots)
-  , integrated_(aNow)
+  , decayed_(aNow)
 {
 }
 
@@ -230,27 +230,24 @@
   return std::clamp(whole, 1U, slots_);
 }
 
-auto SlotGauge::Integrate(TimePoint aNow) const -> void
+auto SlotGauge::Decay(TimePoint aNow) const -> void
 {
-  const auto span = Seconds(aNow - integrated_);
-  if (span <= 0) {
-    return;
+  const auto span = Seconds(aNow - decayed_);
+  if (span > 0) {
+    utilisation_ *= std::exp(-span / kUtilisationWindowSeconds);
+    decayed_ = aNow;
   }
-  const auto keep = std::exp(-span / kUtilisationWindowSeconds);
-  const auto share = static_cast<double>(busy_) / slots_;
-  utilisation_ = utilisation_ * keep + share * (1 - keep);
-  integrated_ = aNow;
 }
 
 auto SlotGauge::Utilisation(TimePoint aNow) const -> double
 {
-  Integrate(aNow);
+  Decay(aNow);
   return utilisation_;
 }
 
 auto SlotGauge::TryAcquire(TimePoint aNow) -> bool
 {
-  Integrate(aNow);
+  Decay(aNow);
   if (busy_ >= Limit()) {
     return false;
   }
@@ -260,19 +257,23 @@
 
 auto SlotGauge::Release(TimePoint aNow) -> void
 {
-  Integrate(aNow);
+  Decay(aNow);
   busy_ -= busy_ > 0 ? 1 : 0;
 }
 
-auto SlotGauge::Completed(Millis aTook, bool aGood) -> void
+auto SlotGauge::Completed(std::chrono::microseconds aWork,
+                          bool aGood,
+                          TimePoint aNow) -> void
 {
+  Decay(aNow);
+  const auto work = std::chrono::duration<double>(aWork).count();
+  utilisation_ += work / (slots_ * kUtilisationWindowSeconds);
   badShare_ += kSmoothing * ((aGood ? 0.0 : 1.0) - badShare_);
   if (!aGood) {
-    lastBad_ = integrated_;
+    lastBad_ = aNow;
     return;
   }
-  const auto took = std::chrono::duration<double>(aTook).count();
-  serviceSeconds_ += kSmoothing * (took - serviceSeconds_);
+  serviceSeconds_ += kSmoothing * (work - serviceSeconds_);
   limit_ = std::min(limit_ + 1.0 / Limit(), static_cast<double>(slots_));
 }
 
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -101,8 +101,8 @@
 
 // Slots of one backend server. The limit starts at one after a cold start,
 // grows with completions up to the published slots, and halves when the
-// server sheds or times out. Utilisation is the busy share of the published
-// slots over the last seconds. Not thread safe.
+// server sheds or times out. Utilisation is the share of the published slots'
+// time that finished requests worked, over the last seconds. Not thread safe.
 class SlotGauge
 {
 public:
@@ -111,8 +111,10 @@
   auto SetSlots(std::uint32_t aSlots) -> void;
   auto TryAcquire(TimePoint aNow) -> bool;
   auto Release(TimePoint aNow) -> void;
-  // What became of a request.
-  auto Completed(Millis aTook, bool aGood) -> void;
+  // What became of a request; the time is the server's own work, without
+  // the way there and back.
+  auto Completed(std::chrono::microseconds aWork, bool aGood, TimePoint aNow)
+    -> void;
   auto Shed() -> void;
   auto ColdStart() -> void;
 
@@ -125,14 +127,14 @@
   auto IsFit(TimePoint aNow) const -> bool;
 
 private:
-  auto Integrate(TimePoint aNow) const -> void;
+  auto Decay(TimePoint aNow) const -> void;
 
   std::uint32_t slots_;
   std::uint32_t busy_ = 0;
   double limit_ = 1;
   double serviceSeconds_ = 0.02;
   mutable double utilisation_ = 0;
-  mutable TimePoint integrated_;
+  mutable TimePoint decayed_;
   double badShare_ = 0;
   TimePoint lastBad_;
 };
--- a/src/core/key_home.cpp
+++ b/src/core/key_home.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t kSendTimesKept = 32;
 // Nobody takes a role over within this time after the holder's lease ended.
 constexpr Millis kTakeoverMargin = kDeadAfter - kKeyLease;
+// A home waits so long for what its peers have recorded.
+constexpr Millis kAskWithin{ 800 };
 
 auto IdOf(const std::string& aCaller, const std::string& aKey) -> std::string
 {
@@ -22,6 +24,7 @@
 KeyHome::KeyHome(const KeyHomeInit& aInit, const Clock& aClock)
   : init_(aInit)
   , clock_(aClock)
+  , startedAt_(WallMillis(aClock.Wall()))
 {
 }
 
@@ -72,6 +75,9 @@
   switched_.clear();
   resigned_.clear();
   switchedSince_ = 0;
+  switchedAt_ = now;
+  rejoins_.clear();
+  yielded_.clear();
   for (const auto& former : formerTargets_) {
     if (former != init_.self) {
       pulls_.insert(former);
@@ -194,8 +200,7 @@
   const auto wall = WallMillis(clock_.Wall());
   if (holds) {
     if (!held_ && aNow > leaseUntil_ + kTakeoverMargin) {
-      ownSince_ = std::max(ownSince_, wall);
-      takenOver_.clear();
+      BeginRejoin(aNow);
     }
     if (switchedSince_ == 0 && OldMajoritySwitched()) {
       switchedSince_ = wall + kKeyLease.count();
@@ -209,9 +214,87 @@
     leaseUntil_ = needed == 0 ? aNow + kKeyLease : until[needed - 1];
   }
   held_ = holds;
+  const bool late = !rejoins_.empty() && aNow - rejoinBegan_ > kAskWithin;
+  if (holds && late) {
+    rejoinWhole_ = false;
+    rejoins_.clear();
+    FinishRejoin();
+  }
   RefreshTakeovers(aNow);
 }
 
+// Others may have stood in for this home, and a restarted one has forgotten
+// what it granted, so it asks its peers before it grants again.
+auto KeyHome::BeginRejoin(TimePoint aNow) -> void
+{
+  takenOver_.clear();
+  rejoins_.clear();
+  rejoinBegan_ = aNow;
+  rejoinSince_ = 0;
+  rejoinWhole_ = true;
+  regainedAt_ = WallMillis(clock_.Wall());
+  for (const auto& [endpoint, peer] : peers_) {
+    rejoins_.insert(endpoint);
+  }
+  if (rejoins_.empty()) {
+    rejoinWhole_ = false;
+    FinishRejoin();
+  }
+}
+
+auto KeyHome::FinishRejoin() -> void
+{
+  const auto since = rejoinWhole_ ? rejoinSince_ : regainedAt_;
+  ownSince_ = std::max(ownSince_, since);
+  everHeld_ = true;
+}
+
+auto KeyHome::RejoinsWanted() const -> std::vector<Endpoint>
+{
+  const std::lock_guard lock(mutex_);
+  return { rejoins_.begin(), rejoins_.end() };
+}
+
+auto KeyHome::Yield(const Endpoint& aAsker, std::uint64_t aTargetsDigest)
+  -> KeyPullReply
+{
+  const std::lock_guard lock(mutex_);
+  KeyPullReply reply;
+  if (aTargetsDigest != digest_) {
+    return reply;
+  }
+  const auto now = clock_.Now();
+  RefreshLease(now);
+  const auto taken = takenOver_.find(aAsker);
+  reply.complete = 1;
+  reply.tookOver = taken != takenOver_.end() ? 1 : 0;
+  reply.roleSinceMillis =
+    std::max(startedAt_, reply.tookOver != 0 ? taken->second : 0);
+  takenOver_.erase(aAsker);
+  resigned_.erase(aAsker);
+  yielded_[aAsker] = now;
+  ExportTo(aAsker, {}, reply);
+  return reply;
+}
+
+auto KeyHome::ImportRejoin(const Endpoint& aFrom, const KeyPullReply& aReply)
+  -> void
+{
+  const std::lock_guard lock(mutex_);
+  if (rejoins_.erase(aFrom) == 0) {
+    return;
+  }
+  Absorb(aReply);
+  // Only who stood in knows what a restarted home has forgotten.
+  const bool tells =
+    aReply.complete != 0 && (everHeld_ || aReply.tookOver != 0);
+  rejoinWhole_ = rejoinWhole_ && tells;
+  rejoinSince_ = std::max(rejoinSince_, aReply.roleSinceMillis);
+  if (rejoins_.empty()) {
+    FinishRejoin();
+  }
+}
+
 auto KeyHome::RefreshTakeovers(TimePoint aNow) -> void
 {
   for (const auto& target : targets_) {
@@ -236,6 +319,10 @@
     return false;
   }
   const auto& own = found->second;
+  const auto yielded = yielded_.find(aTarget);
+  if (yielded != yielded_.end() && aNow - yielded->second < kDeadAfter) {
+    return false;
+  }
   // This process's own vote counts once it has left the target out.
   const bool omits =
     own.omitted && aNow - own.omittedAt < kKeyLease &&
@@ -275,7 +362,7 @@
   -> std::optional<std::int64_t>
 {
   RefreshLease(aNow);
-  if (!held_) {
+  if (!held_ || !rejoins_.empty()) {
     return std::nullopt;
   }
   auto since = ownSince_;
@@ -300,7 +387,9 @@
   if (inherited != inherited_.end()) {
     return std::max(since, inherited->second);
   }
-  if (switchedSince_ == 0) {
+  const bool asking =
+    pulls_.contains(former) && aNow - switchedAt_ < kAskWithin;
+  if (switchedSince_ == 0 || asking) {
     return std::nullopt;
   }
   return std::max(since, switchedSince_);
@@ -417,17 +506,23 @@
   for (const auto& [home, since] : inherited_) {
     reply.roleSinceMillis = std::max(reply.roleSinceMillis, since);
   }
-  const auto except = resignedSelf_ ? init_.self : Endpoint{};
+  ExportTo(aAsker, resignedSelf_ ? init_.self : Endpoint{}, reply);
+  return reply;
+}
+
+auto KeyHome::ExportTo(const Endpoint& aAsker,
+                       const Endpoint& aExcept,
+                       KeyPullReply& aReply) const -> void
+{
   for (const auto& [id, record] : records_) {
-    if (FirstHolder(id, except, targets_) == aAsker) {
-      reply.records.push_back({ id,
-                                record.attempt,
-                                static_cast<std::uint8_t>(record.state),
-                                record.issuedMillis,
-                                record.answer });
+    if (FirstHolder(id, aExcept, targets_) == aAsker) {
+      aReply.records.push_back({ id,
+                                 record.attempt,
+                                 static_cast<std::uint8_t>(record.state),
+                                 record.issuedMillis,
+                                 record.answer });
     }
   }
-  return reply;
 }
 
 auto KeyHome::Absorb(const KeyPullReply& aReply) -> void
--- a/src/core/key_home.h
+++ b/src/core/key_home.h
@@ -58,6 +58,13 @@
     -> KeyPullReply;
   auto Import(const Endpoint& aFrom, const KeyPullReply& aReply) -> void;
 
+  // Peers that a home which regained its lease has to ask before it grants,
+  // and their answers. A failed call leaves the reply incomplete.
+  auto RejoinsWanted() const -> std::vector<Endpoint>;
+  auto Yield(const Endpoint& aAsker, std::uint64_t aTargetsDigest)
+    -> KeyPullReply;
+  auto ImportRejoin(const Endpoint& aFrom, const KeyPullReply& aReply) -> void;
+
   // Stops granting for good; each peer gets the records it will answer for.
   auto Resign() -> void;
   auto TakeResignation(const Endpoint& aFrom,
@@ -107,10 +114,15 @@
   auto OldMajoritySwitched() const -> bool;
   auto RefreshLease(TimePoint aNow) -> void;
   auto RefreshTakeovers(TimePoint aNow) -> void;
+  auto BeginRejoin(TimePoint aNow) -> void;
+  auto FinishRejoin() -> void;
   auto FirstHolder(const std::string& aId,
                    const Endpoint& aExcept,
                    const std::vector<Endpoint>& aTargets) const -> Endpoint;
   auto Store(const std::string& aId, Record aRecord) -> void;
+  auto ExportTo(const Endpoint& aAsker,
+                const Endpoint& aExcept,
+                KeyPullReply& aReply) const -> void;
   auto Forget() -> void;
   auto Absorb(const KeyPullReply& aReply) -> void;
 
@@ -132,6 +144,16 @@
   std::unordered_set<Endpoint, KeyHash> pulls_;
   std::unordered_set<Endpoint, KeyHash> switched_;
   std::unordered_map<Endpoint, std::int64_t, KeyHash> resigned_;
+  TimePoint switchedAt_;
+  // Rejoining after a lost lease.
+  std::unordered_set<Endpoint, KeyHash> rejoins_;
+  std::unordered_map<Endpoint, TimePoint, KeyHash> yielded_;
+  TimePoint rejoinBegan_;
+  std::int64_t rejoinSince_ = 0;
+  std::int64_t regainedAt_ = 0;
+  bool rejoinWhole_ = false;
+  bool everHeld_ = false;
+  std::int64_t startedAt_ = 0;
   bool heldAtSwitch_ = false;
   bool resignedSelf_ = false;
   // Roles taken over from silent targets, by target.
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -156,9 +156,10 @@
                   m.attempt,
                   m.outcome,
                   Long(m.answer))
-DAMASKWALK_FIELDS(KeyPull, m.service, m.targetsDigest)
+DAMASKWALK_FIELDS(KeyPull, m.service, m.targetsDigest, m.rejoin)
 DAMASKWALK_FIELDS(KeyPullReply,
                   m.complete,
+                  m.tookOver,
                   m.roleSinceMillis,
                   Bounded<kMaxKeyRecords>(m.records))
 template<class Archive>
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -262,11 +262,15 @@
 {
   ServiceId service;
   std::uint64_t targetsDigest = 0;
+  // The asker is not new to the set: it lost its lease or restarted.
+  std::uint8_t rejoin = 0;
 };
 
 struct KeyPullReply
 {
   std::uint8_t complete = 0;
+  // To a rejoining home: the sender stands in for it now.
+  std::uint8_t tookOver = 0;
   std::int64_t roleSinceMillis = 0;
   std::vector<KeyRecordText> records;
 };
--- a/standins/callers.cpp
+++ b/standins/callers.cpp
@@ -334,6 +334,7 @@
     aClient.flow->Send(MakeRequestText(request), request.trace);
     Note() << "event=request id=" << aClient.id << " key=" << aClient.idemKey
            << " service=" << load.service << " load=" << load.name
+           << " address=" << ToText(aClient.key.address)
            << " caller=" << request.caller << " flow=" << ToText(aClient.key)
            << " feed=" << (load.kind == "feed" ? 1 : 0)
            << " once=" << (load.once ? 1 : 0) << " t=" << Wall() << "\n";
