Look for oneself before believing that a member is dead

Cause: in a partition each side told everybody that the other was dead, the accused refuted it, and a refutation was taken for a restart, so directory agents reset flows whose owners lived. Now an accusation starts an own check, indirect probes really come back, refutations are told from restarts, and a process that sees few others resets nothing. A request whose earlier try was lost is never called not run.

--- a/src/agent/board.h
+++ b/src/agent/board.h
@@ -67,6 +67,7 @@
   RequestKind kind;
   AttemptId attempt;
   bool claimed = false;
+  bool mayHaveRun = false; // a try was lost: NotRun can't be said any more
   TimePoint arrived;
   TimePoint deadline;
   std::uint32_t tries = 0;
@@ -108,6 +109,7 @@
   // Attempt that a former owner claimed for the next request; used once.
   AttemptId inheritedAttempt;
   bool inheritedClaim = false;
+  bool inheritedMayHaveRun = false;
   // Feed.
   std::string feedRequest;
   std::string lastEventId;
--- a/src/agent/directory.cpp
+++ b/src/agent/directory.cpp
@@ -300,6 +300,7 @@
       return false;
     }
   }
+  // Whoever cannot see most others leaves the verdict to them.
   if (members.SuspectsSelf()) {
     return false;
   }
--- a/src/agent/flows.cpp
+++ b/src/agent/flows.cpp
@@ -169,6 +169,7 @@
   if (aFlow.inheritedAttempt.IsValid()) {
     request->attempt = std::exchange(aFlow.inheritedAttempt, {});
     request->claimed = aFlow.inheritedClaim;
+    request->mayHaveRun = aFlow.inheritedMayHaveRun;
   }
   if (aHttp.caller.empty()) {
     aHttp.caller = ToText(Endpoint{ aFlow.key.caller.ip, 1 });
@@ -321,6 +322,7 @@
     state.received = flow.request->http.text;
     state.attempt = flow.request->attempt;
     state.claimed = flow.request->claimed ? 1 : 0;
+    state.mayHaveRun = flow.request->mayHaveRun ? 1 : 0;
   }
   flow.frozen = true;
   ++flow.feedRun;
@@ -342,6 +344,7 @@
   if (flow.phase == FlowPhase::Waiting) {
     flow.inheritedAttempt = state.attempt;
     flow.inheritedClaim = state.claimed != 0;
+    flow.inheritedMayHaveRun = state.mayHaveRun != 0;
     flow.stream.Received() = state.received;
     flow.request.reset();
     flow.phase = FlowPhase::Idle;
@@ -391,6 +394,7 @@
   }
   placed.inheritedAttempt = aState.attempt;
   placed.inheritedClaim = aState.claimed != 0;
+  placed.inheritedMayHaveRun = aState.mayHaveRun != 0;
   Flush(placed);
   ReadRequests(placed);
   return true;
--- a/src/agent/requests.cpp
+++ b/src/agent/requests.cpp
@@ -389,6 +389,8 @@
               " executor=" + ToText(aDispatch.executor) +
               " outcome=" + ToText(reply.outcome) + " cause=" + reply.cause);
   ++request->tries;
+  request->mayHaveRun =
+    request->mayHaveRun || reply.outcome == Outcome::Unknown;
   if (reply.outcome == Outcome::Answered) {
     Finish(request, Outcome::Answered, reply.answer, "ran");
   } else if (MayRetry(*request, reply.outcome)) {
@@ -526,11 +528,12 @@
                                Outcome aOutcome,
                                std::string_view aCause) -> void
 {
+  const auto outcome = aRequest->mayHaveRun ? Outcome::Unknown : aOutcome;
   const auto after =
-    aOutcome == Outcome::NotRun ? std::optional(kRetryAfter) : std::nullopt;
+    outcome == Outcome::NotRun ? std::optional(kRetryAfter) : std::nullopt;
   Finish(aRequest,
-         aOutcome,
-         MakeOutcomeAnswer(aOutcome, aRequest->http.requestId, aCause, after),
+         outcome,
+         MakeOutcomeAnswer(outcome, aRequest->http.requestId, aCause, after),
          aCause);
 }
 
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -16,6 +16,7 @@
 constexpr Millis kFlapWindow{ 30000 };
 constexpr std::size_t kMaxPendingFacts = 1024;
 constexpr std::size_t kMaxRelayed = 1024;
+constexpr int kRefutationBits = 16;
 
 // A fact wins by incarnation first, then by the more severe state.
 auto Outranks(const MemberFact& aFact,
@@ -46,6 +47,16 @@
   }
 }
 
+auto StartIncarnation(WallTime aNow) -> Incarnation
+{
+  return static_cast<Incarnation>(WallMillis(aNow)) << kRefutationBits;
+}
+
+auto IsRestart(Incarnation aBefore, Incarnation aNow) -> bool
+{
+  return (aNow >> kRefutationBits) > (aBefore >> kRefutationBits);
+}
+
 Membership::Membership(const MembershipInit& aInit, const Clock& aClock)
   : init_(aInit)
   , clock_(aClock)
@@ -73,7 +84,8 @@
   }
   const auto [found, fresh] = members_.try_emplace(aMember);
   auto& member = found->second;
-  const bool restarted = member.heard && aIncarnation > member.incarnation;
+  const bool restarted =
+    member.heard && IsRestart(member.incarnation, aIncarnation);
   if (aIncarnation < member.incarnation) {
     return;
   }
@@ -83,6 +95,7 @@
   member.lastHeard = clock_.Now();
   member.heard = true;
   member.probing = false;
+  member.refused = false;
   const bool gone =
     member.state != MemberState::Alive && member.state != MemberState::Leaving;
   const bool leavingOver = member.state == MemberState::Leaving && restarted;
@@ -191,15 +204,24 @@
   if (!fresh && !Outranks(aFact, member.incarnation, member.state)) {
     return;
   }
-  // What this process heard itself weighs more than another's suspicion.
-  const bool heardNow = member.heard &&
-                        clock_.Now() - member.lastHeard < kHeartbeatPeriod &&
-                        aFact.incarnation == member.incarnation;
-  if (heardNow && aFact.state != MemberState::Leaving) {
+  const bool restarted =
+    member.heard && IsRestart(member.incarnation, aFact.incarnation);
+  const bool running =
+    member.state == MemberState::Alive || member.state == MemberState::Leaving;
+  const bool accused = aFact.state == MemberState::Suspect ||
+                       aFact.state == MemberState::Paused ||
+                       aFact.state == MemberState::Dead;
+  member.incarnation = aFact.incarnation;
+  if (accused && running && !fresh) {
+    Verify(aFact.member, member);
+    return;
+  }
+  // Another's word does not undo the silence that this process observes.
+  const bool silentHere =
+    member.peer && clock_.Now() - member.lastHeard > kSuspectAfter;
+  if (!accused && !running && silentHere && !restarted) {
     return;
   }
-  const bool restarted = member.heard && aFact.incarnation > member.incarnation;
-  member.incarnation = aFact.incarnation;
   if (member.state != aFact.state) {
     Change(aFact.member, member, aFact.state);
     changes_.back().restarted = restarted;
@@ -208,6 +230,17 @@
   }
 }
 
+// Others report trouble: this process looks for itself, since a partition may
+// lie between the member and them.
+auto Membership::Verify(const Endpoint& aEndpoint, Member& aMember) -> void
+{
+  if (clock_.Now() - aMember.lastHeard < kHeartbeatPeriod) {
+    return;
+  }
+  Change(aEndpoint, aMember, MemberState::Suspect);
+  toVerify_.push_back(aEndpoint);
+}
+
 auto Membership::Merge(const std::vector<MemberFact>& aFacts) -> void
 {
   const std::lock_guard lock(mutex_);
@@ -273,7 +306,8 @@
   std::size_t silent = 0;
   const auto now = clock_.Now();
   for (const auto& [endpoint, member] : members_) {
-    if (!member.peer || !member.heard || member.state == MemberState::Dead) {
+    // A refused connection proves that the path is there.
+    if (!member.peer || !member.heard || member.refused) {
       continue;
     }
     const bool quiet = now - member.lastHeard > kSuspectAfter;
@@ -300,8 +334,14 @@
     return;
   }
   if (aMember.state == MemberState::Suspect) {
-    const bool expired = silence > kDeadAfter && now - aMember.suspectSince >
-                                                   kDeadAfter - kSuspectAfter;
+    const bool seenByOthers = now - aMember.indirectAt < kDeadAfter;
+    if (!seenByOthers && now - aMember.probedAt > kProbeTimeout) {
+      aMember.probedAt = now;
+      ProbeIndirectly(aEndpoint, aActions);
+    }
+    const bool expired =
+      !seenByOthers && silence > kDeadAfter &&
+      now - aMember.suspectSince > kDeadAfter - kSuspectAfter;
     if (expired && !suspectsSelf_) {
       Change(aEndpoint, aMember, MemberState::Dead);
     }
@@ -320,6 +360,23 @@
   }
 }
 
+auto Membership::ProbeIndirectly(const Endpoint& aEndpoint,
+                                 MembershipActions& aActions) -> void
+{
+  std::vector<Endpoint> helpers;
+  for (const auto& [other, view] : members_) {
+    if (other != aEndpoint && view.state == MemberState::Alive) {
+      helpers.push_back(other);
+    }
+  }
+  std::ranges::sort(helpers);
+  std::ranges::shuffle(helpers, random_);
+  helpers.resize(std::min(helpers.size(), kIndirectProbes));
+  for (const auto& helper : helpers) {
+    aActions.probes.push_back({ helper, { ++sequence_, aEndpoint, {} } });
+  }
+}
+
 auto Membership::ProbeNext(MembershipActions& aActions) -> void
 {
   if (probeOrder_.empty()) {
@@ -352,6 +409,10 @@
   const auto now = clock_.Now();
   MembershipActions actions;
   CountSilent();
+  for (const auto& suspect : std::exchange(toVerify_, {})) {
+    actions.probes.push_back({ suspect, { ++sequence_, {}, {} } });
+    actions.confirm.push_back(suspect);
+  }
   std::unordered_map<std::string, std::pair<std::size_t, std::size_t>> domains;
   for (auto& [endpoint, member] : members_) {
     const auto before = member.state;
@@ -371,17 +432,7 @@
     if (retry) {
       member.indirect = true;
       member.probedAt = now;
-      std::vector<Endpoint> helpers;
-      for (const auto& [other, view] : members_) {
-        if (other != endpoint && view.state == MemberState::Alive) {
-          helpers.push_back(other);
-        }
-      }
-      std::ranges::shuffle(helpers, random_);
-      helpers.resize(std::min(helpers.size(), kIndirectProbes));
-      for (const auto& helper : helpers) {
-        actions.probes.push_back({ helper, { ++sequence_, endpoint, {} } });
-      }
+      ProbeIndirectly(endpoint, actions);
     }
   }
   if (now >= nextProbe_) {
@@ -407,19 +458,24 @@
   return actions;
 }
 
-auto Membership::TakeAck(const ProbeAck& aAck) -> void
+auto Membership::TakeAck(const ProbeAck& aAck) -> Endpoint
 {
   Merge(aAck.facts);
   const std::lock_guard lock(mutex_);
+  const auto relayed = relayed_.find(aAck.sequence);
+  if (relayed != relayed_.end()) {
+    const auto asker = relayed->second;
+    relayed_.erase(relayed);
+    return asker;
+  }
   const auto found = members_.find(aAck.target);
   if (found == members_.end()) {
-    return;
+    return {};
   }
-  // An indirect answer proves life, though not a direct path.
+  // By way of another it proves life, though not a direct path.
   found->second.probing = false;
-  if (found->second.state == MemberState::Alive) {
-    found->second.lastHeard = clock_.Now();
-  }
+  found->second.indirectAt = clock_.Now();
+  return {};
 }
 
 auto Membership::Confirm(const Endpoint& aMember, bool aAccepted, bool aRefused)
@@ -437,6 +493,7 @@
     return;
   }
   if (aRefused) {
+    member.refused = true;
     Change(aMember, member, MemberState::Dead);
   } else if (aAccepted) {
     Change(aMember, member, MemberState::Paused);
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -20,6 +20,7 @@
   Endpoint self;
   Role role = Role::Unknown;
   std::string failureDomain;
+  // Made by StartIncarnation, so that a refutation is told from a restart.
   Incarnation incarnation = 1;
   std::uint64_t seed = 1;
 };
@@ -67,6 +68,12 @@
 
 auto ToText(MemberState aState) -> const char*;
 
+// Incarnation of a process that starts now; refutations count up in its low
+// bits.
+auto StartIncarnation(WallTime aNow) -> Incarnation;
+// True when the later incarnation belongs to a process started anew.
+auto IsRestart(Incarnation aBefore, Incarnation aNow) -> bool;
+
 // Thread safe; one lock.
 class Membership
 {
@@ -86,7 +93,8 @@
   auto Tick() -> MembershipActions;
   auto TakeProbe(const Endpoint& aSender, const Probe& aProbe)
     -> MembershipActions;
-  auto TakeAck(const ProbeAck& aAck) -> void;
+  // @return whom to pass the acknowledgement on to; invalid: nobody.
+  auto TakeAck(const ProbeAck& aAck) -> Endpoint;
   // Result of a TCP connection to a suspect.
   auto Confirm(const Endpoint& aMember, bool aAccepted, bool aRefused) -> void;
   auto SetLeaving() -> void;
@@ -118,6 +126,8 @@
     TimePoint lastHeard;
     TimePoint suspectSince;
     TimePoint probedAt;
+    TimePoint indirectAt; // last acknowledgement by way of another member
+    bool refused = false; // its VM said that no process is there
     bool heard = false;
     bool listed = false;
     bool peer = false;
@@ -137,6 +147,9 @@
   auto Spread(const Endpoint& aEndpoint, const Member& aMember) -> void;
   auto ApplyFact(const MemberFact& aFact) -> void;
   auto RefuteSelf(const MemberFact& aFact) -> void;
+  auto Verify(const Endpoint& aEndpoint, Member& aMember) -> void;
+  auto ProbeIndirectly(const Endpoint& aEndpoint, MembershipActions& aActions)
+    -> void;
   auto KillDomain(const std::string& aDomain) -> void;
   auto TickMember(const Endpoint& aEndpoint,
                   Member& aMember,
@@ -154,6 +167,7 @@
   std::vector<MemberChange> changes_;
   std::vector<Endpoint> probeOrder_;
   std::unordered_map<std::uint64_t, Endpoint> relayed_;
+  std::vector<Endpoint> toVerify_;
   std::mt19937_64 random_;
   std::uint64_t sequence_ = 0;
   TimePoint nextProbe_;
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -34,11 +34,6 @@
 constexpr Millis kServeWithin{ 60000 };
 constexpr Millis kGarbageLogPeriod{ 1000 };
 
-auto StartIncarnation(const Clock& aClock) -> Incarnation
-{
-  return static_cast<Incarnation>(WallMillis(aClock.Wall()));
-}
-
 auto ThreadCpuNanos() -> std::int64_t
 {
   timespec time{};
@@ -67,7 +62,7 @@
   , members({ aSettings.listen,
               aRole,
               aSettings.failureDomain,
-              StartIncarnation(aClock),
+              StartIncarnation(aClock.Wall()),
               HashOf(aSettings.listen) },
             aClock)
   , budget({ aSettings.controlBytesPerSecond, aSettings.controlBurstBytes },
@@ -311,7 +306,10 @@
     return;
   }
   if (const auto* ack = std::get_if<ProbeAck>(&aLetter.message)) {
-    board_.members.TakeAck(*ack);
+    const auto asker = board_.members.TakeAck(*ack);
+    if (asker.IsValid()) {
+      Send(asker, ProbeAck{ 0, ack->target, {} });
+    }
     return;
   }
   if (std::holds_alternative<DocumentAdvert>(aLetter.message)) {
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -86,6 +86,7 @@
                   Long(m.received),
                   m.attempt,
                   m.claimed,
+                  m.mayHaveRun,
                   Long(m.feedRequest),
                   Name(m.lastEventId),
                   m.feedStarted)
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -288,7 +288,8 @@
   std::string received; // bytes of a request that has not been dispatched
   AttemptId attempt;    // claimed, not dispatched
   std::uint8_t claimed = 0;
-  std::string feedRequest; // HTTP text of an open feed
+  std::uint8_t mayHaveRun = 0; // a try of the waiting request was lost
+  std::string feedRequest;     // HTTP text of an open feed
   std::string lastEventId;
   std::uint8_t feedStarted = 0;
 };
--- a/standins/callers.cpp
+++ b/standins/callers.cpp
@@ -395,6 +395,9 @@
   auto NoteAnswer(Client& aClient, const CallerAnswer& aAnswer) -> void
   {
     const auto& load = *aClient.load;
+    if (aClient.closing) {
+      return; // too late: the caller had given this request up
+    }
     if (aClient.id.empty()) {
       Note() << "event=stray_answer flow=" << ToText(aClient.key)
              << " id=" << aAnswer.requestId << " t=" << Wall() << "\n";
