Hand key homes over without doubt; stop without a crash

Cause 1: a stopping agent aborted (double free) since g++ 12 destroys an aggregate temporary inside a co_await twice, so it never resigned its keys. The message is now a named local. Cause 2: whoever stood in for a home forgot it the moment that home was heard again, so the home could not ask.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -234,10 +234,9 @@
       continue;
     }
     const auto digest = board_.keys.TargetsDigest();
-    co_await node_.Call(
-      backend.agent,
-      KeyResign{ own->id, digest, board_.keys.Export(backend.agent, digest) },
-      kKeyPullWithin);
+    Message resign =
+      KeyResign{ own->id, digest, board_.keys.Export(backend.agent, digest) };
+    co_await node_.Call(backend.agent, std::move(resign), kKeyPullWithin);
   }
 }
 
--- a/src/agent/handover.cpp
+++ b/src/agent/handover.cpp
@@ -84,7 +84,8 @@
       auto& batch = batches[target];
       batch.push_back(std::move(*state));
       if (batch.size() == kFlowsPerBatch) {
-        co_await MoveBatch(target, std::exchange(batch, {}));
+        auto full = std::exchange(batch, {});
+        co_await MoveBatch(target, std::move(full));
       }
     }
   }
--- a/src/check/check.cpp
+++ b/src/check/check.cpp
@@ -147,7 +147,14 @@
   auto TakeClosed(const Fields& aFields, const std::string& aLine) -> void
   {
     const auto cause = Get(aFields, "cause");
-    const bool broken = cause != "caller" && Get(aFields, "established") == "1";
+    const auto flow = Get(aFields, "flow");
+    const auto assigned = assigned_.find(flow.substr(flow.find('>') + 1));
+    // A flow ends with its service when its address moves to another.
+    const bool moved = assigned != assigned_.end() &&
+                       assigned->second.front().service !=
+                         assigned->second.back().service;
+    const bool broken =
+      cause != "caller" && !moved && Get(aFields, "established") == "1";
     if (broken) {
       ++verdict_.flowsBroken;
       Keep(aLine);
@@ -217,6 +224,19 @@
     }
   }
 
+  // The service that the asked address had when it was asked.
+  auto ServiceAt(const Asked& aAsked) const -> std::string
+  {
+    const auto found = assigned_.find(aAsked.address);
+    auto service = aAsked.service;
+    if (found != assigned_.end()) {
+      for (const auto& assignment : found->second) {
+        service = assignment.at <= aAsked.at ? assignment.service : service;
+      }
+    }
+    return service;
+  }
+
   // True when the asked address belonged to the service at some moment from
   // one in-force time before the request until the service took it.
   auto MayServe(const Asked& aAsked,
@@ -269,7 +289,7 @@
       bool ran = runsById_.contains(answer.id);
       const auto asked = asked_.find(answer.id);
       const auto service =
-        asked == asked_.end() ? answer.service : asked->second.service;
+        asked == asked_.end() ? answer.service : ServiceAt(asked->second);
       const auto byKey = runsByKey_.find(service + "|" + answer.key);
       if (!answer.key.empty() && byKey != runsByKey_.end()) {
         ran = ran || std::ranges::any_of(byKey->second, [&](const Ran& aRun) {
--- a/src/core/key_home.cpp
+++ b/src/core/key_home.cpp
@@ -71,6 +71,7 @@
   digest_ = digest;
   inherited_.clear();
   takenOver_.clear();
+  stoodIn_.clear();
   pulls_.clear();
   switched_.clear();
   resigned_.clear();
@@ -265,12 +266,13 @@
   }
   const auto now = clock_.Now();
   RefreshLease(now);
-  const auto taken = takenOver_.find(aAsker);
+  const auto taken = stoodIn_.find(aAsker);
   reply.complete = 1;
-  reply.tookOver = taken != takenOver_.end() ? 1 : 0;
+  reply.tookOver = taken != stoodIn_.end() ? 1 : 0;
   reply.roleSinceMillis =
     std::max(startedAt_, reply.tookOver != 0 ? taken->second : 0);
   takenOver_.erase(aAsker);
+  stoodIn_.erase(aAsker);
   resigned_.erase(aAsker);
   yielded_[aAsker] = now;
   ExportTo(aAsker, {}, reply);
@@ -309,6 +311,7 @@
     const auto since = resigned == resigned_.end() ? WallMillis(clock_.Wall())
                                                    : resigned->second;
     takenOver_.try_emplace(target, since);
+    stoodIn_.try_emplace(target, since);
   }
 }
 
--- a/src/core/key_home.h
+++ b/src/core/key_home.h
@@ -158,6 +158,9 @@
   bool resignedSelf_ = false;
   // Roles taken over from silent targets, by target.
   std::unordered_map<Endpoint, std::int64_t, KeyHash> takenOver_;
+  // Since when this process has recorded what it granted in a target's
+  // place; kept until that target asks for it.
+  std::unordered_map<Endpoint, std::int64_t, KeyHash> stoodIn_;
   std::unordered_map<std::string, Record> records_;
   std::deque<std::string> order_;
   std::int64_t forgottenBefore_ = 0;
