--- a/tests/key_home_test.cpp
+++ b/tests/key_home_test.cpp
@@ -74,8 +74,9 @@
   }
 
   // Some owner claims a key for an attempt and runs it when it is granted.
-  auto Claim(const std::string& aKey, std::int64_t aIssued, std::uint64_t aAttempt)
-    -> void
+  auto Claim(const std::string& aKey,
+             std::int64_t aIssued,
+             std::uint64_t aAttempt) -> void
   {
     const auto from = random_() % nodes_.size();
     if (!nodes_[from].home || IsPaused(from)) {
@@ -88,8 +89,8 @@
       if (!reachable) {
         continue;
       }
-      const auto reply = nodes_[to].home->Claim(
-        { {}, aKey, "c", { 1, aAttempt }, aIssued });
+      const auto reply =
+        nodes_[to].home->Claim({ {}, aKey, "c", { 1, aAttempt }, aIssued });
       if (reply.result == ClaimResult::NotHome) {
         continue;
       }
@@ -215,10 +216,9 @@
     };
     for (const auto& peer : home.PullsWanted()) {
       if (reachable(peer)) {
-        home.Import(
-          peer,
-          nodes_[Index(peer)].home->Export(
-            self, home.TargetsDigest(), home.FormerDigest()));
+        home.Import(peer,
+                    nodes_[Index(peer)].home->Export(
+                      self, home.TargetsDigest(), home.FormerDigest()));
       }
     }
     for (const auto& peer : home.RejoinsWanted()) {
@@ -240,7 +240,8 @@
     node.home->Resign();
     const auto self = Agent(static_cast<std::uint16_t>(aNode));
     for (std::size_t to = 0; to < nodes_.size(); ++to) {
-      if (to != aNode && nodes_[to].home && !IsPaused(to) && !IsCut(aNode, to)) {
+      if (to != aNode && nodes_[to].home && !IsPaused(to) &&
+          !IsCut(aNode, to)) {
         const auto peer = Agent(static_cast<std::uint16_t>(to));
         const auto digest = node.home->TargetsDigest();
         nodes_[to].home->TakeResignation(
@@ -264,8 +265,7 @@
 
 // Keys are claimed again and again, under new attempts, with their first issue
 // time, while homes crash, restart, pause, resign and are cut off.
-auto
-RunHistory(std::uint64_t aSeed, bool aSetChanges) -> Homes
+auto RunHistory(std::uint64_t aSeed, bool aSetChanges) -> Homes
 {
   Homes homes(aSeed, 5);
   std::vector<std::pair<std::string, std::int64_t>> keys;
@@ -297,7 +297,7 @@
 
 TEST(KeyHome, NoKeyIsGrantedTwiceWhateverFails)
 {
-    std::size_t granted = 0;
+  std::size_t granted = 0;
   Holds("one grant a key", [&granted](std::uint64_t aSeed) {
     const auto homes = RunHistory(aSeed, false);
     granted += homes.Granted();
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,289 @@
+#include "test_support.h"
+
+#include "core/membership.h"
+
+#include <deque>
+
+namespace damaskwalk {
+namespace {
+
+// A fleet of memberships on one clock and a lossy network. A dead process is
+// refused by its VM unless the VM is gone too; a paused one accepts.
+class Fleet
+{
+public:
+  Fleet(std::uint64_t aSeed, std::size_t aCount, double aLoss)
+    : random_(aSeed)
+    , loss_(aLoss)
+  {
+    std::vector<Endpoint> peers;
+    for (std::size_t i = 0; i < aCount; ++i) {
+      peers.push_back(Agent(static_cast<std::uint16_t>(i)));
+      listing_.push_back({ peers.back(), Role::Agent, Domain(i), false });
+    }
+    for (std::size_t i = 0; i < aCount; ++i) {
+      nodes_.push_back({});
+      Start(i);
+      nodes_[i].members->SetPeers(peers);
+    }
+  }
+
+  auto Run(Millis aTime) -> void
+  {
+    for (Millis done{ 0 }; done < aTime; done += Millis{ 50 }) {
+      clock_.Advance(Millis{ 50 });
+      ++steps_;
+      for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        if (!Runs(i)) {
+          continue;
+        }
+        if ((steps_ + i) % 10 == 0) {
+          for (std::size_t to = 0; to < nodes_.size(); ++to) {
+            Send(i, to, {});
+          }
+        }
+        Act(i, nodes_[i].members->Tick());
+        for (const auto& change : nodes_[i].members->TakeChanges()) {
+          Note(i, change);
+        }
+      }
+      Deliver();
+    }
+  }
+
+  auto Kill(std::size_t aNode, bool aVm) -> void
+  {
+    nodes_[aNode].alive = false;
+    nodes_[aNode].vmGone = aVm;
+    killedAt_ = clock_.Now();
+  }
+  auto Pause(std::size_t aNode, Millis aTime) -> void
+  {
+    nodes_[aNode].pausedUntil = clock_.Now() + aTime;
+  }
+  auto Cut(std::uint64_t aSide) -> void { cut_ = aSide; }
+  auto Members(std::size_t aNode) -> Membership& { return *nodes_[aNode].members; }
+  auto FalseDeaths() const -> std::size_t { return falseDeaths_; }
+  auto SlowestDetection() const -> Millis { return slowest_; }
+
+private:
+  struct Node
+  {
+    std::unique_ptr<Membership> members;
+    bool alive = true;
+    bool vmGone = false;
+    TimePoint pausedUntil;
+  };
+  struct Datagram
+  {
+    std::size_t from;
+    std::size_t to;
+    Message message;
+  };
+
+  static auto Domain(std::size_t aNode) -> std::string
+  {
+    return std::string(1, static_cast<char>('a' + aNode % 3));
+  }
+  auto Index(const Endpoint& aMember) const -> std::size_t
+  {
+    return aMember.port - 7100U;
+  }
+  auto Runs(std::size_t aNode) const -> bool
+  {
+    return nodes_[aNode].alive && nodes_[aNode].pausedUntil <= clock_.Now();
+  }
+  auto IsCut(std::size_t aFrom, std::size_t aTo) const -> bool
+  {
+    return ((cut_ >> aFrom) & 1) != ((cut_ >> aTo) & 1);
+  }
+
+  auto Start(std::size_t aNode) -> void
+  {
+    const auto self = Agent(static_cast<std::uint16_t>(aNode));
+    nodes_[aNode].members = std::make_unique<Membership>(
+      MembershipInit{ self,
+                      Role::Agent,
+                      Domain(aNode),
+                      StartIncarnation(clock_.Wall()),
+                      aNode + 1 },
+      clock_);
+    nodes_[aNode].members->ApplyListing(listing_);
+  }
+
+  auto Send(std::size_t aFrom, std::size_t aTo, Message aMessage) -> void
+  {
+    const auto draw = std::uniform_real_distribution<double>(0, 1)(random_);
+    if (aFrom != aTo && draw >= loss_ && !IsCut(aFrom, aTo)) {
+      network_.push_back({ aFrom, aTo, std::move(aMessage) });
+    }
+  }
+
+  auto Act(std::size_t aNode, const MembershipActions& aActions) -> void
+  {
+    for (const auto& [receiver, probe] : aActions.probes) {
+      Send(aNode, Index(receiver), probe);
+    }
+    for (const auto& suspect : aActions.confirm) {
+      const auto to = Index(suspect);
+      const bool reaches = !nodes_[to].vmGone && !IsCut(aNode, to);
+      nodes_[aNode].members->Confirm(
+        suspect, reaches && nodes_[to].alive, reaches && !nodes_[to].alive);
+    }
+  }
+
+  auto Deliver() -> void
+  {
+    for (auto& [from, to, message] : std::exchange(network_, {})) {
+      if (!nodes_[to].alive) {
+        continue;
+      }
+      if (!Runs(to)) {
+        network_.push_back({ from, to, std::move(message) });
+        continue;
+      }
+      auto& members = *nodes_[to].members;
+      const auto sender = Agent(static_cast<std::uint16_t>(from));
+      members.Hear(sender, Role::Agent, nodes_[from].members->SelfIncarnation());
+      if (const auto* probe = std::get_if<Probe>(&message)) {
+        const auto actions = members.TakeProbe(sender, *probe);
+        if (actions.probes.empty()) {
+          const auto self = Agent(static_cast<std::uint16_t>(to));
+          Send(to, from, ProbeAck{ probe->sequence, self, members.TakeFacts(6) });
+        }
+        Act(to, actions);
+      } else if (const auto* ack = std::get_if<ProbeAck>(&message)) {
+        const auto asker = members.TakeAck(*ack);
+        if (asker.IsValid()) {
+          Send(to, Index(asker), ProbeAck{ 0, ack->target, {} });
+        }
+      } else if (std::holds_alternative<PacketForward>(message)) {
+        members.Merge({}); // a heartbeat
+      }
+    }
+  }
+
+  auto Note(std::size_t aObserver, const MemberChange& aChange) -> void
+  {
+    if (aChange.to != MemberState::Dead) {
+      return;
+    }
+    const auto victim = Index(aChange.member);
+    if (nodes_[victim].alive && !IsCut(aObserver, victim)) {
+      ++falseDeaths_;
+    } else {
+      slowest_ = std::max(
+        slowest_, std::chrono::duration_cast<Millis>(clock_.Now() - killedAt_));
+    }
+  }
+
+  ManualClock clock_;
+  std::mt19937_64 random_;
+  double loss_;
+  std::vector<Node> nodes_;
+  std::vector<ListedVm> listing_;
+  std::deque<Datagram> network_;
+  std::uint64_t cut_ = 0;
+  std::uint64_t steps_ = 0;
+  std::size_t falseDeaths_ = 0;
+  TimePoint killedAt_;
+  Millis slowest_{ 0 };
+};
+
+TEST(Membership, ADeadProcessIsNoticedWithinTwoSeconds)
+{
+  Holds("detection", [](std::uint64_t aSeed, bool aVm) {
+    Fleet fleet(aSeed, 9, 0.05);
+    fleet.Run(Millis{ 2000 });
+    fleet.Kill(aSeed % 9, aVm);
+    fleet.Run(Millis{ 2500 });
+    for (std::size_t i = 0; i < 9; ++i) {
+      const auto victim = Agent(static_cast<std::uint16_t>(aSeed % 9));
+      RC_ASSERT(i == aSeed % 9 || fleet.Members(i).IsDead(victim));
+    }
+    RC_ASSERT(fleet.SlowestDetection() <= Millis{ 2000 });
+    RC_ASSERT(fleet.FalseDeaths() == 0U);
+  });
+}
+
+TEST(Membership, LossAndShortPausesKillNobody)
+{
+  Holds("no false death", [](std::uint64_t aSeed) {
+    Fleet fleet(aSeed, 7, 0.05);
+    std::mt19937_64 random(aSeed);
+    for (int i = 0; i < 60; ++i) {
+      fleet.Pause(random() % 7, Millis{ 200 });
+      fleet.Run(Millis{ 500 });
+    }
+    RC_ASSERT(fleet.FalseDeaths() == 0U);
+  });
+}
+
+TEST(Membership, APausedProcessIsPausedNotDead)
+{
+  Fleet fleet(1, 5, 0);
+  fleet.Run(Millis{ 2000 });
+  fleet.Pause(2, Millis{ 6000 });
+  fleet.Run(Millis{ 4000 });
+  EXPECT_EQ(fleet.Members(0).StateOf(Agent(2)), MemberState::Paused);
+  fleet.Run(Millis{ 4000 });
+  EXPECT_EQ(fleet.Members(0).StateOf(Agent(2)), MemberState::Alive);
+  EXPECT_EQ(fleet.FalseDeaths(), 0U);
+}
+
+TEST(Membership, APartHealsAndWhoeverSeesFewSuspectsItself)
+{
+  Fleet fleet(3, 7, 0);
+  fleet.Run(Millis{ 2000 });
+  fleet.Cut(0b11);
+  fleet.Run(Millis{ 5000 });
+  EXPECT_TRUE(fleet.Members(0).SuspectsSelf());
+  EXPECT_FALSE(fleet.Members(5).SuspectsSelf());
+  EXPECT_TRUE(fleet.Members(5).IsDead(Agent(0)));
+  fleet.Cut(0);
+  fleet.Run(Millis{ 3000 });
+  EXPECT_FALSE(fleet.Members(0).SuspectsSelf());
+  for (std::uint16_t i = 1; i < 7; ++i) {
+    EXPECT_EQ(fleet.Members(0).StateOf(Agent(i)), MemberState::Alive) << i;
+    EXPECT_EQ(fleet.Members(i).StateOf(Agent(0)), MemberState::Alive) << i;
+  }
+}
+
+TEST(Membership, TheListNeitherKillsNorRevives)
+{
+  ManualClock clock;
+  Membership members({ Agent(0), Role::Agent, "a", 1 << 16, 1 }, clock);
+  members.Hear(Agent(1), Role::Agent, 1 << 16);
+  members.ApplyListing({});
+  EXPECT_EQ(members.StateOf(Agent(1)), MemberState::Alive);
+  members.ApplyListing({ { Agent(1), Role::Agent, "a", true } });
+  EXPECT_EQ(members.StateOf(Agent(1)), MemberState::Leaving);
+  EXPECT_FALSE(members.IsUsable(Agent(1)));
+}
+
+TEST(Membership, AFlappingMemberGetsNoNewWork)
+{
+  ManualClock clock;
+  Membership members({ Agent(0), Role::Agent, "a", 1 << 16, 1 }, clock);
+  members.SetPeers({ Agent(1), Agent(2), Agent(3) });
+  for (std::uint64_t round = 1; round <= 6; ++round) {
+    for (std::uint16_t peer = 1; peer <= 3; ++peer) {
+      members.Hear(Agent(peer), Role::Agent, round << 16);
+    }
+    for (int step = 0; step < 40; ++step) {
+      clock.Advance(Millis{ 50 });
+      members.Hear(Agent(2), Role::Agent, round << 16);
+      members.Hear(Agent(3), Role::Agent, round << 16);
+      for (const auto& suspect : members.Tick().confirm) {
+        members.Confirm(suspect, false, true);
+      }
+    }
+    EXPECT_TRUE(members.IsDead(Agent(1)));
+  }
+  members.Hear(Agent(1), Role::Agent, std::uint64_t{ 9 } << 16);
+  EXPECT_EQ(members.StateOf(Agent(1)), MemberState::Alive);
+  EXPECT_FALSE(members.IsUsable(Agent(1)));
+}
+
+} // namespace
+} // namespace damaskwalk
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -109,7 +109,8 @@
     std::string sentDown;
     for (int step = 0; step < 600; ++step) {
       if (step < 200 && step % 5 == 0) {
-        const std::string piece(1 + random() % 3000, static_cast<char>('a' + step % 26));
+        const std::string piece(1 + random() % 3000,
+                                static_cast<char>('a' + step % 26));
         sentUp += piece;
         pair.Caller().Write(piece);
         if (pair.Owner()) {
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -6,8 +6,7 @@
 constexpr int kInputsPerKind = 100000;
 
 // One message of each kind, with every list and text in use.
-auto
-Samples() -> std::vector<Message>
+auto Samples() -> std::vector<Message>
 {
   const MemberFact fact{ Agent(1), Role::Agent, MemberState::Suspect, 7, "a" };
   const FlowFact flow{ FlowNumber(1), Agent(2), 3, 0 };
@@ -20,38 +19,39 @@
   beat.heard = { { Agent(1), 5 } };
   beat.heaviest = { { 9, 10 } };
   beat.facts = { fact };
-  return { PacketForward{ ServiceId{ 1 }, PacketStage::Entry, 1, {}, "frame" },
-           FlowHint{ FlowNumber(1), Agent(1) },
-           FlowRegister{ ServiceId{ 1 }, { flow, flow } },
-           FlowReject{ { flow } },
-           FlowLookup{ FlowNumber(1), 3 },
-           FlowLookupReply{ FlowNumber(1), Agent(1), 2 },
-           beat,
-           Probe{ 1, Agent(2), { fact } },
-           ProbeAck{ 1, Agent(2), { fact } },
-           DocumentAdvert{ 4 },
-           WrongService{ FlowNumber(1) },
-           DocumentPull{ 3 },
-           DocumentReply{ 1, 2, 3, { { "service a", "x = 1" } }, { { "b", "" } } },
-           ExecuteRequest{
-             ServiceId{ 1 }, { 1, 2 }, "kind", 1, 5, {}, "GET / HTTP/1.1" },
-           ExecuteReply{ Outcome::NotRun, {}, "answer", "cause" },
-           KeyClaim{ ServiceId{ 1 }, "key", "caller", { 1, 2 }, 4 },
-           KeyClaimReply{ ClaimResult::Granted, "answer" },
-           KeyOutcome{
-             ServiceId{ 1 }, "key", "caller", { 1, 2 }, Outcome::Answered, "a" },
-           KeyPull{ ServiceId{ 1 }, 2, 3, 1 },
-           KeyPullReply{ 1, 1, 5, { record } },
-           Handover{ ServiceId{ 1 }, { state } },
-           HandoverReply{ 1, { FlowNumber(2) } },
-           StatusQuery{},
-           ExplainQuery{ "flow", "request" },
-           TextReply{ "{}" },
-           KeyResign{ ServiceId{ 1 }, 2, { 1, 0, 5, { record } } } };
+  return {
+    PacketForward{ ServiceId{ 1 }, PacketStage::Entry, 1, {}, "frame" },
+    FlowHint{ FlowNumber(1), Agent(1) },
+    FlowRegister{ ServiceId{ 1 }, { flow, flow } },
+    FlowReject{ { flow } },
+    FlowLookup{ FlowNumber(1), 3 },
+    FlowLookupReply{ FlowNumber(1), Agent(1), 2 },
+    beat,
+    Probe{ 1, Agent(2), { fact } },
+    ProbeAck{ 1, Agent(2), { fact } },
+    DocumentAdvert{ 4 },
+    WrongService{ FlowNumber(1) },
+    DocumentPull{ 3 },
+    DocumentReply{ 1, 2, 3, { { "service a", "x = 1" } }, { { "b", "" } } },
+    ExecuteRequest{
+      ServiceId{ 1 }, { 1, 2 }, "kind", 1, 5, {}, "GET / HTTP/1.1" },
+    ExecuteReply{ Outcome::NotRun, {}, "answer", "cause" },
+    KeyClaim{ ServiceId{ 1 }, "key", "caller", { 1, 2 }, 4 },
+    KeyClaimReply{ ClaimResult::Granted, "answer" },
+    KeyOutcome{
+      ServiceId{ 1 }, "key", "caller", { 1, 2 }, Outcome::Answered, "a" },
+    KeyPull{ ServiceId{ 1 }, 2, 3, 1 },
+    KeyPullReply{ 1, 1, 5, { record } },
+    Handover{ ServiceId{ 1 }, { state } },
+    HandoverReply{ 1, { FlowNumber(2) } },
+    StatusQuery{},
+    ExplainQuery{ "flow", "request" },
+    TextReply{ "{}" },
+    KeyResign{ ServiceId{ 1 }, 2, { 1, 0, 5, { record } } }
+  };
 }
 
-auto
-Decodes(std::string_view aBytes) -> bool
+auto Decodes(std::string_view aBytes) -> bool
 {
   return boost::leaf::try_handle_all(
     [&]() -> boost::leaf::result<bool> {
@@ -125,21 +125,22 @@
 
 TEST(Wire, FramesComeBackAndGarbageDoesNot)
 {
-  Holds("frame round trip", [](const std::string& aPayload, std::uint32_t aSeq) {
-    Frame frame;
-    frame.source = Agent(1);
-    frame.sequence = aSeq;
-    frame.payload = aPayload.substr(0, kMaxSegmentBytes);
-    const auto bytes = EncodeFrame(frame);
-    RC_ASSERT(LooksLikeFrame(bytes));
-    const auto again = boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<std::string> {
-        BOOST_LEAF_AUTO(decoded, DecodeFrame(bytes));
-        return EncodeFrame(decoded);
-      },
-      [] { return std::string(); });
-    RC_ASSERT(again == bytes);
-  });
+  Holds("frame round trip",
+        [](const std::string& aPayload, std::uint32_t aSeq) {
+          Frame frame;
+          frame.source = Agent(1);
+          frame.sequence = aSeq;
+          frame.payload = aPayload.substr(0, kMaxSegmentBytes);
+          const auto bytes = EncodeFrame(frame);
+          RC_ASSERT(LooksLikeFrame(bytes));
+          const auto again = boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<std::string> {
+              BOOST_LEAF_AUTO(decoded, DecodeFrame(bytes));
+              return EncodeFrame(decoded);
+            },
+            [] { return std::string(); });
+          RC_ASSERT(again == bytes);
+        });
 }
 
 } // namespace
