Refuse early what cannot end in time; leave slots to light callers

Cause: requests were dispatched with less time left than they take, so servers worked on what nobody waited for; a heavy caller held every slot.

--- /dev/null
+++ b/bench/bench_decisions.cpp
@@ -0,0 +1,147 @@
+// Cost of the decisions on the packet's and the request's path.
+
+#include "balancer/balancer.h"
+#include "core/admission.h"
+#include "core/placement.h"
+
+#include <benchmark/benchmark.h>
+
+namespace damaskwalk {
+namespace {
+
+constexpr std::size_t kHintedFlows = 1000000;
+
+auto FleetDocument(std::size_t aServices, std::size_t aBackends) -> std::string
+{
+  std::string text = "[document]\nteams = t\n";
+  for (std::size_t s = 0; s < aServices; ++s) {
+    const auto name = "s" + std::to_string(s);
+    text += "[service " + name + "]\nowner = t\naddresses = 10." +
+            std::to_string(s >> 8) + "." + std::to_string(s & 255) + ".1:80\n";
+    for (std::size_t b = 0; b < aBackends; ++b) {
+      const auto at = s * aBackends + b;
+      const auto address = "11." + std::to_string(at >> 16) + "." +
+                           std::to_string((at >> 8) & 255) + "." +
+                           std::to_string(at & 255);
+      text += "[backend " + name + "-" + std::to_string(b) +
+              "]\nowner = t\nservice = " + name + "\nagent = " + address +
+              ":7100\nserver = " + address + ":8100\nslots = 4\n" +
+              "failure_domain = d" + std::to_string(b % 12) + "\n";
+    }
+  }
+  return text;
+}
+
+auto FlowFrame(std::uint64_t aNumber) -> Frame
+{
+  Frame frame;
+  frame.source = { static_cast<std::uint32_t>(0x0A000000 + (aNumber >> 14)),
+                   static_cast<std::uint16_t>(1024 + (aNumber & 0x3FFF)) };
+  frame.destination = { 0x0A000001, 80 };
+  frame.flags = flag::kAck;
+  return frame;
+}
+
+// @param Range(0) share of hinted flows in percent.
+void BalancerDecision(benchmark::State& aState)
+{
+  const auto parsed = ParseDocument(FleetDocument(1, 7), 1);
+  const SystemClock clock;
+  Membership members({ { 1, 1 }, Role::Balancer, "a", 1, 1 }, clock);
+  for (const auto& backend : parsed.document->services[0].backends) {
+    members.Hear(backend.agent, Role::Agent, 1);
+  }
+  BalancerSettings settings;
+  settings.hintCapacity = 1U << 22;
+  Router router(settings, members);
+  router.SetDocument(*parsed.document);
+  const auto& service = parsed.document->services[0];
+  if (aState.range(0) > 0) {
+    for (std::uint64_t i = 0; i < kHintedFlows; ++i) {
+      router.Hints().Set(FlowOf(FlowFrame(i)), service.backends[i % 7].agent);
+    }
+  }
+  std::uint64_t next = 0;
+  for (auto _ : aState) {
+    next = (next + 7919) % kHintedFlows;
+    benchmark::DoNotOptimize(router.Decide(service, FlowFrame(next)));
+  }
+}
+BENCHMARK(BalancerDecision)->Arg(0)->Arg(100);
+
+// Admission of one request and the choice of its server, with 10,000 callers
+// and 64 candidates.
+void AdmissionAndChoice(benchmark::State& aState)
+{
+  FairQueue queue({ 1000000, 1000 });
+  const auto policy = MakePlacement(PlacementKind::Spare, 1);
+  std::vector<Candidate> candidates(64);
+  std::mt19937_64 random(1);
+  for (auto& candidate : candidates) {
+    candidate.limit = 4;
+    candidate.utilisation = static_cast<double>(random() % 1000) / 1000;
+  }
+  std::vector<std::string> callers;
+  for (int i = 0; i < 10000; ++i) {
+    callers.push_back("caller-" + std::to_string(i));
+  }
+  const TimePoint now{ std::chrono::seconds(1) };
+  const auto later = now + std::chrono::hours(1);
+  std::uint64_t id = 0;
+  for (const auto& caller : callers) {
+    queue.Push({ ++id, caller, 1, 1, later, now });
+  }
+  std::vector<Ticket> expired;
+  for (auto _ : aState) {
+    queue.Push({ ++id, callers[id % 10000], 1, 1, later, now });
+    benchmark::DoNotOptimize(policy->PlaceRequest(candidates, 0));
+    benchmark::DoNotOptimize(queue.Pop(now, expired));
+  }
+}
+BENCHMARK(AdmissionAndChoice);
+
+// A document of Range(0) services with six targets each, checked and indexed.
+void DocumentInForce(benchmark::State& aState)
+{
+  const auto text = FleetDocument(static_cast<std::size_t>(aState.range(0)), 6);
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(ParseDocument(text, 1));
+  }
+  aState.counters["bytes"] = static_cast<double>(text.size());
+}
+BENCHMARK(DocumentInForce)
+  ->Arg(100)
+  ->Arg(1000)
+  ->Arg(3400)
+  ->Unit(benchmark::kMillisecond);
+
+void FrameThroughTheCodec(benchmark::State& aState)
+{
+  auto frame = FlowFrame(1);
+  frame.payload = std::string(200, 'x');
+  const auto bytes = EncodeFrame(frame);
+  for (auto _ : aState) {
+    PacketForward packet;
+    packet.frame = bytes;
+    benchmark::DoNotOptimize(EncodeMessage({}, packet));
+    benchmark::DoNotOptimize(DecodeFrame(bytes));
+  }
+}
+BENCHMARK(FrameThroughTheCodec);
+
+void DirectoryRegisterAndFind(benchmark::State& aState)
+{
+  Directory directory;
+  std::uint64_t next = 0;
+  for (auto _ : aState) {
+    const auto flow = FlowOf(FlowFrame(++next % 100000));
+    directory.Register({ flow, { 1, 1 }, 1, 0 });
+    benchmark::DoNotOptimize(directory.Find(flow));
+  }
+}
+BENCHMARK(DirectoryRegisterAndFind);
+
+} // namespace
+} // namespace damaskwalk
+
+BENCHMARK_MAIN();
--- a/src/agent/board.h
+++ b/src/agent/board.h
@@ -67,6 +67,7 @@
   RequestKind kind;
   AttemptId attempt;
   bool claimed = false;
+  bool yields = false;     // its caller holds more than its share of slots
   bool mayHaveRun = false; // a try was lost: NotRun can't be said any more
   TimePoint arrived;
   TimePoint deadline;
--- a/src/agent/executor.cpp
+++ b/src/agent/executor.cpp
@@ -111,7 +111,10 @@
   bool acquired = false;
   {
     const std::lock_guard lock(board_.admission.mutex);
-    acquired = board_.admission.slots.TryAcquire(board_.Now());
+    auto& slots = board_.admission.slots;
+    const auto reserve =
+      aRequest.yields != 0 ? ReservedSlots(slots.Limit()) : 0;
+    acquired = slots.TryAcquire(board_.Now(), reserve);
   }
   if (!acquired) {
     co_return Refuse("no_slot");
--- a/src/agent/feeds.cpp
+++ b/src/agent/feeds.cpp
@@ -24,8 +24,8 @@
 constexpr Millis kConnectWithin{ 500 };
 constexpr Millis kSilenceWithin{ 10000 };
 constexpr Millis kReconnectAfter{ 100 };
-constexpr std::size_t kMostUnsent = 256 * 1024;
-constexpr std::size_t kMaxEventBytes = 64 * 1024;
+constexpr std::size_t kMostUnsent = std::size_t{ 256 } * 1024;
+constexpr std::size_t kMaxEventBytes = std::size_t{ 64 } * 1024;
 
 auto EventId(std::string_view aEvent) -> std::string
 {
--- a/src/agent/requests.cpp
+++ b/src/agent/requests.cpp
@@ -18,7 +18,7 @@
 constexpr Millis kBackoffBase{ 10 };
 constexpr Millis kBackoffMost{ 200 };
 constexpr double kUtilisationWindowSeconds = 4.0;
-constexpr double kReservedShare = 0.1;
+
 constexpr Millis kRetryAfter{ 1000 };
 constexpr std::size_t kMostHeldBack = 8;
 
@@ -103,9 +103,18 @@
   const auto limit = document->FindCaller(aRequest->http.caller);
   const std::lock_guard lock(board_.admission.mutex);
   auto& admission = board_.admission;
+  // The wait until this caller's turn comes once more for each of its tickets.
+  const auto& queue = admission.queue;
+  const auto ahead =
+    (static_cast<double>(queue.SizeOf(aRequest->http.caller)) + 1) *
+    static_cast<double>(queue.ActiveCallers());
+  // At the least the own backend server works the queue off.
+  const auto own = admission.slots.Limit() / admission.slots.ServiceSeconds();
+  const auto rate = std::max(queue.PopRate(now), own / 2);
+  const auto needed = ahead / rate + admission.slots.LongServiceSeconds();
   const auto expected = std::chrono::duration_cast<TimePoint::duration>(
-    std::chrono::duration<double>(admission.slots.ServiceSeconds()));
-  if (aRequest->deadline <= now + expected / 2) {
+    std::chrono::duration<double>(needed));
+  if (aRequest->deadline <= now + expected) {
     return Refusal::DeadlineNear;
   }
   const auto refusal = admission.queue.Push({ aRequest->id,
@@ -186,30 +195,41 @@
 
 // A caller that holds more than its fair share of the slots leaves a reserve
 // to the others, so that they find a slot at once.
-auto RequestController::MayTakeSlot(
-  const std::string& aCaller,
-  const std::vector<Candidate>& aCandidates) const -> bool
+auto RequestController::IsHeavy(const std::string& aCaller,
+                                const std::vector<Candidate>& aCandidates) const
+  -> bool
 {
   if (board_.admission.queue.CallerCount() < 2) {
-    return true;
+    return false;
   }
   double slots = 0;
-  double busy = 0;
   for (const auto& candidate : aCandidates) {
-    if (candidate.usable) {
-      slots += candidate.limit;
-      busy += std::min(candidate.busy, candidate.limit);
-    }
+    slots += candidate.usable ? candidate.limit : 0;
   }
-  const auto found = board_.admission.running.find(aCaller);
-  const double mine =
-    found == board_.admission.running.end() ? 0 : found->second;
-  const double others =
-    static_cast<double>(board_.admission.running.size()) + 1;
+  const auto& running = board_.admission.running;
+  const auto found = running.find(aCaller);
+  const double mine = found == running.end() ? 0 : found->second;
+  const double callers = static_cast<double>(running.size()) + 1;
   const double owners = static_cast<double>(aCandidates.size());
-  const bool heavy =
-    mine + 1 > std::max(slots / std::max(owners, 1.0) / others, 1.0);
-  return !heavy || slots - busy > slots * kReservedShare;
+  return mine + 1 > std::max(slots / owners / callers, 1.0);
+}
+
+auto RequestController::Choose(std::vector<Candidate>& aCandidates,
+                               bool aYields) -> std::size_t
+{
+  const auto self = board_.node.Self();
+  const auto home = std::ranges::find(aCandidates, self, &Candidate::agent) -
+                    aCandidates.begin();
+  if (!aYields) {
+    return board_.placement->PlaceRequest(aCandidates,
+                                          static_cast<std::size_t>(home));
+  }
+  auto reserved = aCandidates;
+  for (auto& candidate : reserved) {
+    candidate.limit -= ReservedSlots(candidate.limit);
+  }
+  return board_.placement->PlaceRequest(reserved,
+                                        static_cast<std::size_t>(home));
 }
 
 auto RequestController::NextDispatch() -> std::optional<Dispatch>
@@ -229,22 +249,28 @@
     if (admission.queue.Size() == 0) {
       return std::nullopt;
     }
-    const auto candidates = board_.Candidates(*service);
-    const auto self = board_.node.Self();
-    const auto home = std::ranges::find(candidates, self, &Candidate::agent) -
-                      candidates.begin();
-    const auto chosen = board_.placement->PlaceRequest(
-      candidates, static_cast<std::size_t>(home));
+    auto candidates = board_.Candidates(*service);
+    auto chosen = Choose(candidates, false);
     if (chosen == Placement::kNone) {
       return std::nullopt;
     }
-    auto ticket = admission.queue.Pop(now, expired);
+    // What can't end in time is not begun.
+    const auto enough = std::chrono::duration_cast<TimePoint::duration>(
+      std::chrono::duration<double>(admission.slots.LongServiceSeconds()));
+    auto ticket = admission.queue.Pop(now + enough, expired);
+    bool yields = false;
     std::vector<Ticket> held;
-    while (ticket && !MayTakeSlot(ticket->caller, candidates)) {
+    while (ticket) {
+      yields = IsHeavy(ticket->caller, candidates);
+      chosen = yields ? Choose(candidates, true) : chosen;
+      if (!yields || chosen != Placement::kNone) {
+        break;
+      }
       held.push_back(std::move(*ticket));
       ticket.reset();
+      chosen = Choose(candidates, false);
       if (held.size() < kMostHeldBack) {
-        ticket = admission.queue.Pop(now, expired);
+        ticket = admission.queue.Pop(now + enough, expired);
       }
     }
     for (auto& back : held) {
@@ -256,6 +282,7 @@
     }
     if (ticket) {
       const auto request = admission.requests[ticket->id];
+      request->yields = yields;
       admission.requests.erase(ticket->id);
       ++admission.running[request->http.caller];
       dispatch = { request, candidates[chosen].agent };
@@ -268,7 +295,7 @@
     }
   }
   for (const auto& request : late) {
-    GiveUp(request, Outcome::NotRun, "deadline_passed_in_queue");
+    GiveUp(request, Outcome::NotRun, "deadline_near_in_queue");
   }
   return dispatch;
 }
@@ -332,6 +359,7 @@
                       Mix(request.attempt.low, request.tries) };
   execute.kind = request.kind.name;
   execute.repeatable = request.kind.repeatable ? 1 : 0;
+  execute.yields = request.yields ? 1 : 0;
   execute.deadlineMillis = WallMillis(board_.node.Board().clock.Wall() + left);
   execute.trace = board_.Trace(request.http.trace,
                                "executor_chosen",
@@ -549,7 +577,7 @@
     }
   }
   for (const auto& request : late) {
-    GiveUp(request, Outcome::NotRun, "deadline_passed_in_queue");
+    GiveUp(request, Outcome::NotRun, "deadline_near_in_queue");
   }
   Pump();
 }
--- a/src/agent/requests.h
+++ b/src/agent/requests.h
@@ -32,8 +32,10 @@
   auto ClaimThenEnqueue(RequestPtr aRequest) -> Task<void>;
   auto Pump() -> void;
   auto NextDispatch() -> std::optional<Dispatch>;
-  auto MayTakeSlot(const std::string& aCaller,
-                   const std::vector<Candidate>& aCandidates) const -> bool;
+  auto IsHeavy(const std::string& aCaller,
+               const std::vector<Candidate>& aCandidates) const -> bool;
+  // Chooses a server for a caller's request; wants admission.mutex.
+  auto Choose(std::vector<Candidate>& aCandidates, bool aYields) -> std::size_t;
   // Wants admission.mutex.
   auto ReleaseShare(const std::string& aCaller) -> void;
   auto Run(Dispatch aDispatch) -> Task<void>;
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -5,6 +5,8 @@
 #include <boost/json.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include <limits>
+
 namespace damaskwalk {
 
 namespace leaf = boost::leaf;
@@ -82,17 +84,25 @@
       return { agent, PacketStage::Hinted, "hint" };
     }
   }
+  // The first in rendezvous order, and the next while those before are gone.
   const auto key = HashOf(flow);
-  Endpoint best;
-  std::uint64_t bestWeight = 0;
-  for (const auto& backend : aService.backends) {
-    const auto weight = RendezvousWeight(key, backend.agent);
-    if ((!best.IsValid() || weight > bestWeight) && runs(backend.agent)) {
-      best = backend.agent;
-      bestWeight = weight;
+  auto below = std::numeric_limits<std::uint64_t>::max();
+  for (std::size_t turn = 0; turn < aService.backends.size(); ++turn) {
+    Endpoint best;
+    std::uint64_t bestWeight = 0;
+    for (const auto& backend : aService.backends) {
+      const auto weight = RendezvousWeight(key, backend.agent);
+      if (weight >= bestWeight && weight < below) {
+        best = backend.agent;
+        bestWeight = weight;
+      }
+    }
+    if (!best.IsValid() || runs(best)) {
+      return { best, PacketStage::Entry, "directory" };
     }
+    below = bestWeight;
   }
-  return { best, PacketStage::Entry, "directory" };
+  return {};
 }
 
 Balancer::Balancer(Node& aNode, const BalancerSettings& aSettings)
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -13,6 +13,7 @@
 constexpr Millis kUnfitRetry{ 2000 };
 constexpr double kRateBurstSeconds = 0.5;
 constexpr double kDemandWindowSeconds = 1.0;
+constexpr double kPopWindowSeconds = 1.0;
 constexpr std::size_t kMaxRateCallers = 20000;
 constexpr std::size_t kMaxIdleCallers = 20000;
 
@@ -39,6 +40,11 @@
   }
 }
 
+auto ReservedSlots(std::uint32_t aLimit) -> std::uint32_t
+{
+  return aLimit < 2 ? 0 : std::max(aLimit / 8, 1U);
+}
+
 FairQueue::FairQueue(const FairQueueInit& aInit)
   : init_(aInit)
 {
@@ -155,6 +161,8 @@
       continue;
     }
     queue->deficit -= queue->meanCost;
+    popRate_ = PopRate(aNow) + 1 / kPopWindowSeconds;
+    poppedAt_ = aNow;
     return ticket;
   }
   return std::nullopt;
@@ -181,6 +189,17 @@
   return expired;
 }
 
+auto FairQueue::SizeOf(const std::string& aCaller) const -> std::size_t
+{
+  const auto found = queues_.find(aCaller);
+  return found == queues_.end() ? 0 : found->second->size;
+}
+
+auto FairQueue::PopRate(TimePoint aNow) const -> double
+{
+  return popRate_ * std::exp(-Seconds(aNow - poppedAt_) / kPopWindowSeconds);
+}
+
 auto FairQueue::Remove(std::uint64_t aId) -> bool
 {
   const auto caller = callerOf_.find(aId);
@@ -245,10 +264,10 @@
   return utilisation_;
 }
 
-auto SlotGauge::TryAcquire(TimePoint aNow) -> bool
+auto SlotGauge::TryAcquire(TimePoint aNow, std::uint32_t aReserve) -> bool
 {
   Decay(aNow);
-  if (busy_ >= Limit()) {
+  if (busy_ + aReserve >= Limit()) {
     return false;
   }
   ++busy_;
@@ -273,6 +292,8 @@
     lastBad_ = aNow;
     return;
   }
+  const auto deviation = std::abs(work - serviceSeconds_);
+  deviationSeconds_ += kSmoothing * (deviation - deviationSeconds_);
   serviceSeconds_ += kSmoothing * (work - serviceSeconds_);
   limit_ = std::min(limit_ + 1.0 / Limit(), static_cast<double>(slots_));
 }
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -40,6 +40,9 @@
 
 auto ToText(Refusal aRefusal) -> const char*;
 
+// Slots of a server that heavy callers leave to the others.
+auto ReservedSlots(std::uint32_t aLimit) -> std::uint32_t;
+
 struct FairQueueInit
 {
   std::size_t maxTickets = 4096;
@@ -66,6 +69,10 @@
   auto TakeExpired(TimePoint aNow) -> std::vector<Ticket>;
 
   auto Size() const -> std::size_t { return size_; }
+  // Waiting tickets of one caller.
+  auto SizeOf(const std::string& aCaller) const -> std::size_t;
+  // Tickets popped a second, over the last seconds.
+  auto PopRate(TimePoint aNow) const -> double;
   auto CallerCount() const -> std::size_t { return queues_.size(); }
   // Callers with a waiting ticket.
   auto ActiveCallers() const -> std::size_t { return active_; }
@@ -96,6 +103,8 @@
   std::unordered_map<std::uint64_t, std::string> callerOf_;
   std::size_t size_ = 0;
   std::size_t active_ = 0;
+  double popRate_ = 0;
+  TimePoint poppedAt_;
   double meanSeconds_ = 0.01;
 };
 
@@ -109,7 +118,8 @@
   SlotGauge(std::uint32_t aSlots, TimePoint aNow);
 
   auto SetSlots(std::uint32_t aSlots) -> void;
-  auto TryAcquire(TimePoint aNow) -> bool;
+  // @param aReserve slots that must stay free behind this one.
+  auto TryAcquire(TimePoint aNow, std::uint32_t aReserve = 0) -> bool;
   auto Release(TimePoint aNow) -> void;
   // What became of a request; the time is the server's own work, without
   // the way there and back.
@@ -123,6 +133,11 @@
   auto Slots() const -> std::uint32_t { return slots_; }
   auto Utilisation(TimePoint aNow) const -> double;
   auto ServiceSeconds() const -> double { return serviceSeconds_; }
+  // A time that most requests keep within: mean and two mean deviations.
+  auto LongServiceSeconds() const -> double
+  {
+    return serviceSeconds_ + 2 * deviationSeconds_;
+  }
   // False for a server that answers mostly with errors.
   auto IsFit(TimePoint aNow) const -> bool;
 
@@ -133,6 +148,7 @@
   std::uint32_t busy_ = 0;
   double limit_ = 1;
   double serviceSeconds_ = 0.02;
+  double deviationSeconds_ = 0;
   mutable double utilisation_ = 0;
   mutable TimePoint decayed_;
   double badShare_ = 0;
--- a/src/core/document.cpp
+++ b/src/core/document.cpp
@@ -160,6 +160,7 @@
     sections[section.name] = section.text;
   }
   std::vector<Section> joined;
+  joined.reserve(sections.size());
   for (auto& [name, text] : sections) {
     joined.push_back({ name, std::move(text) });
   }
--- a/src/core/document_reader.cpp
+++ b/src/core/document_reader.cpp
@@ -98,7 +98,7 @@
       entry.keys.values[key.pItem] = values.back().pItem;
     }
     for (const auto& [key, value] : entry.keys.values) {
-      sectionText += key + " = " + value + "\n";
+      sectionText.append(key).append(" = ").append(value).append("\n");
     }
     entry.keys.owner = entry.keys.values["owner"];
     entry.keys.values.erase("owner");
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -18,6 +18,7 @@
   std::uint16_t port = 0;
 
   auto IsValid() const -> bool { return port != 0; }
+  // NOLINTNEXTLINE(modernize-use-nullptr): a false alarm on <=>.
   auto operator<=>(const Endpoint&) const = default;
 };
 
@@ -27,6 +28,7 @@
   Endpoint caller;
   Endpoint address;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): a false alarm on <=>.
   auto operator<=>(const FlowKey&) const = default;
 };
 
@@ -36,6 +38,7 @@
   std::uint64_t value = 0;
 
   auto IsValid() const -> bool { return value != 0; }
+  // NOLINTNEXTLINE(modernize-use-nullptr): a false alarm on <=>.
   auto operator<=>(const ServiceId&) const = default;
 };
 
@@ -46,6 +49,7 @@
   std::uint64_t low = 0;
 
   auto IsValid() const -> bool { return (high | low) != 0; }
+  // NOLINTNEXTLINE(modernize-use-nullptr): a false alarm on <=>.
   auto operator<=>(const AttemptId&) const = default;
 };
 
--- a/src/runtime/platform_client.cpp
+++ b/src/runtime/platform_client.cpp
@@ -23,7 +23,7 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr Millis kReadWithin{ 2000 };
-constexpr std::size_t kMaxDocumentBytes = 16 * 1024 * 1024;
+constexpr std::size_t kMaxDocumentBytes = std::size_t{ 16 } * 1024 * 1024;
 
 // "\"42\"" as an ETag gives 42.
 auto ParseVersion(std::string_view aEtag) -> DocumentVersion
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -15,7 +15,7 @@
 
 #define DAMASKWALK_FIELDS(Type, ...)                                           \
   template<class Archive>                                                      \
-  auto Fields(Archive& aArchive, Type& m)->void                                \
+  auto Fields(Archive& aArchive, Type& aBody)->void                            \
   {                                                                            \
     aArchive(__VA_ARGS__);                                                     \
   }
@@ -43,136 +43,141 @@
 // Nested structs, found by argument-dependent lookup.
 #define DAMASKWALK_NESTED(Type, ...)                                           \
   template<class Archive>                                                      \
-  auto serialize(Archive& aArchive, Type& m)->void                             \
+  auto serialize(Archive& aArchive, Type& aBody)->void                         \
   {                                                                            \
     aArchive(__VA_ARGS__);                                                     \
   }
 
-DAMASKWALK_NESTED(TraceContext, m.traceHigh, m.traceLow, m.span)
-DAMASKWALK_NESTED(FlowFact, m.flow, m.owner, m.epoch, m.ended)
+DAMASKWALK_NESTED(TraceContext, aBody.traceHigh, aBody.traceLow, aBody.span)
+DAMASKWALK_NESTED(FlowFact, aBody.flow, aBody.owner, aBody.epoch, aBody.ended)
 DAMASKWALK_NESTED(MemberFact,
-                  m.member,
-                  m.role,
-                  m.state,
-                  m.incarnation,
-                  Name(m.failureDomain))
+                  aBody.member,
+                  aBody.role,
+                  aBody.state,
+                  aBody.incarnation,
+                  Name(aBody.failureDomain))
 DAMASKWALK_NESTED(LoadReport,
-                  m.slots,
-                  m.busy,
-                  m.limit,
-                  m.queued,
-                  m.flows,
-                  m.connections,
-                  m.utilisation,
-                  m.serviceMicros,
-                  m.fit)
-DAMASKWALK_NESTED(CallerRate, m.caller, m.perSecond)
-DAMASKWALK_NESTED(PeerAck, m.peer, m.sequence)
-DAMASKWALK_NESTED(SectionText, Name(m.name), Long(m.text))
+                  aBody.slots,
+                  aBody.busy,
+                  aBody.limit,
+                  aBody.queued,
+                  aBody.flows,
+                  aBody.connections,
+                  aBody.utilisation,
+                  aBody.serviceMicros,
+                  aBody.fit)
+DAMASKWALK_NESTED(CallerRate, aBody.caller, aBody.perSecond)
+DAMASKWALK_NESTED(PeerAck, aBody.peer, aBody.sequence)
+DAMASKWALK_NESTED(SectionText, Name(aBody.name), Long(aBody.text))
 DAMASKWALK_NESTED(KeyRecordText,
-                  Name(m.key),
-                  m.attempt,
-                  m.state,
-                  m.issuedMillis,
-                  Long(m.answer))
+                  Name(aBody.key),
+                  aBody.attempt,
+                  aBody.state,
+                  aBody.issuedMillis,
+                  Long(aBody.answer))
 DAMASKWALK_NESTED(FlowState,
-                  m.flow,
-                  m.epoch,
-                  m.sendUnacked,
-                  m.receiveNext,
-                  m.finReceived,
-                  m.finQueued,
-                  Long(m.unacked),
-                  Long(m.received),
-                  m.attempt,
-                  m.claimed,
-                  m.mayHaveRun,
-                  Long(m.feedRequest),
-                  Name(m.lastEventId),
-                  m.feedStarted)
+                  aBody.flow,
+                  aBody.epoch,
+                  aBody.sendUnacked,
+                  aBody.receiveNext,
+                  aBody.finReceived,
+                  aBody.finQueued,
+                  Long(aBody.unacked),
+                  Long(aBody.received),
+                  aBody.attempt,
+                  aBody.claimed,
+                  aBody.mayHaveRun,
+                  Long(aBody.feedRequest),
+                  Name(aBody.lastEventId),
+                  aBody.feedStarted)
 
 namespace {
 
 DAMASKWALK_FIELDS(Envelope,
-                  m.sender,
-                  m.role,
-                  m.incarnation,
-                  m.version,
-                  m.digest)
+                  aBody.sender,
+                  aBody.role,
+                  aBody.incarnation,
+                  aBody.version,
+                  aBody.digest)
 DAMASKWALK_FIELDS(PacketForward,
-                  m.service,
-                  m.stage,
-                  m.hops,
-                  m.balancer,
-                  Bounded<kMaxDatagramBytes>(m.frame))
-DAMASKWALK_FIELDS(FlowHint, m.flow, m.owner)
-DAMASKWALK_FIELDS(FlowRegister, m.service, List(m.facts))
-DAMASKWALK_FIELDS(FlowReject, List(m.facts))
-DAMASKWALK_FIELDS(FlowLookup, m.flow, m.acknowledgement)
-DAMASKWALK_FIELDS(FlowLookupReply, m.flow, m.owner, m.epoch)
+                  aBody.service,
+                  aBody.stage,
+                  aBody.hops,
+                  aBody.balancer,
+                  Bounded<kMaxDatagramBytes>(aBody.frame))
+DAMASKWALK_FIELDS(FlowHint, aBody.flow, aBody.owner)
+DAMASKWALK_FIELDS(FlowRegister, aBody.service, List(aBody.facts))
+DAMASKWALK_FIELDS(FlowReject, List(aBody.facts))
+DAMASKWALK_FIELDS(FlowLookup, aBody.flow, aBody.acknowledgement)
+DAMASKWALK_FIELDS(FlowLookupReply, aBody.flow, aBody.owner, aBody.epoch)
 DAMASKWALK_FIELDS(Heartbeat,
-                  m.service,
-                  m.sequence,
-                  m.targetsDigest,
-                  m.leaving,
-                  m.load,
-                  List(m.heard),
-                  List(m.heaviest),
-                  List(m.facts))
-DAMASKWALK_FIELDS(Probe, m.sequence, m.target, List(m.facts))
-DAMASKWALK_FIELDS(ProbeAck, m.sequence, m.target, List(m.facts))
-DAMASKWALK_FIELDS(DocumentAdvert, m.freshMillis)
-DAMASKWALK_FIELDS(WrongService, m.flow)
-DAMASKWALK_FIELDS(DocumentPull, m.have)
+                  aBody.service,
+                  aBody.sequence,
+                  aBody.targetsDigest,
+                  aBody.leaving,
+                  aBody.load,
+                  List(aBody.heard),
+                  List(aBody.heaviest),
+                  List(aBody.facts))
+DAMASKWALK_FIELDS(Probe, aBody.sequence, aBody.target, List(aBody.facts))
+DAMASKWALK_FIELDS(ProbeAck, aBody.sequence, aBody.target, List(aBody.facts))
+DAMASKWALK_FIELDS(DocumentAdvert, aBody.freshMillis)
+DAMASKWALK_FIELDS(WrongService, aBody.flow)
+DAMASKWALK_FIELDS(DocumentPull, aBody.have)
 DAMASKWALK_FIELDS(DocumentReply,
-                  m.version,
-                  m.digest,
-                  m.base,
-                  Bounded<200000>(m.changed),
-                  Bounded<200000>(m.removed))
+                  aBody.version,
+                  aBody.digest,
+                  aBody.base,
+                  Bounded<200000>(aBody.changed),
+                  Bounded<200000>(aBody.removed))
 DAMASKWALK_FIELDS(ExecuteRequest,
-                  m.service,
-                  m.attempt,
-                  Name(m.kind),
-                  m.repeatable,
-                  m.deadlineMillis,
-                  m.trace,
-                  Long(m.request))
+                  aBody.service,
+                  aBody.attempt,
+                  Name(aBody.kind),
+                  aBody.repeatable,
+                  aBody.yields,
+                  aBody.deadlineMillis,
+                  aBody.trace,
+                  Long(aBody.request))
 DAMASKWALK_FIELDS(ExecuteReply,
-                  m.outcome,
-                  m.load,
-                  Long(m.answer),
-                  Name(m.cause))
+                  aBody.outcome,
+                  aBody.load,
+                  Long(aBody.answer),
+                  Name(aBody.cause))
 DAMASKWALK_FIELDS(KeyClaim,
-                  m.service,
-                  Name(m.key),
-                  Name(m.caller),
-                  m.attempt,
-                  m.issuedMillis)
-DAMASKWALK_FIELDS(KeyClaimReply, m.result, Long(m.answer))
+                  aBody.service,
+                  Name(aBody.key),
+                  Name(aBody.caller),
+                  aBody.attempt,
+                  aBody.issuedMillis)
+DAMASKWALK_FIELDS(KeyClaimReply, aBody.result, Long(aBody.answer))
 DAMASKWALK_FIELDS(KeyOutcome,
-                  m.service,
-                  Name(m.key),
-                  Name(m.caller),
-                  m.attempt,
-                  m.outcome,
-                  Long(m.answer))
-DAMASKWALK_FIELDS(KeyPull, m.service, m.targetsDigest, m.formerDigest, m.rejoin)
+                  aBody.service,
+                  Name(aBody.key),
+                  Name(aBody.caller),
+                  aBody.attempt,
+                  aBody.outcome,
+                  Long(aBody.answer))
+DAMASKWALK_FIELDS(KeyPull,
+                  aBody.service,
+                  aBody.targetsDigest,
+                  aBody.formerDigest,
+                  aBody.rejoin)
 DAMASKWALK_FIELDS(KeyPullReply,
-                  m.complete,
-                  m.tookOver,
-                  m.roleSinceMillis,
-                  Bounded<kMaxKeyRecords>(m.records))
+                  aBody.complete,
+                  aBody.tookOver,
+                  aBody.roleSinceMillis,
+                  Bounded<kMaxKeyRecords>(aBody.records))
 template<class Archive>
-auto Fields(Archive& aArchive, KeyResign& m) -> void
+auto Fields(Archive& aArchive, KeyResign& aBody) -> void
 {
-  aArchive(m.service, m.targetsDigest);
-  Fields(aArchive, m.roles);
+  aArchive(aBody.service, aBody.targetsDigest);
+  Fields(aArchive, aBody.roles);
 }
-DAMASKWALK_FIELDS(Handover, m.service, List(m.flows))
-DAMASKWALK_FIELDS(HandoverReply, m.accepted, List(m.refused))
-DAMASKWALK_FIELDS(ExplainQuery, Name(m.flow), Name(m.request))
-DAMASKWALK_FIELDS(TextReply, Long(m.text))
+DAMASKWALK_FIELDS(Handover, aBody.service, List(aBody.flows))
+DAMASKWALK_FIELDS(HandoverReply, aBody.accepted, List(aBody.refused))
+DAMASKWALK_FIELDS(ExplainQuery, Name(aBody.flow), Name(aBody.request))
+DAMASKWALK_FIELDS(TextReply, Long(aBody.text))
 
 using Loader = Message (*)(InArchive&);
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -201,6 +201,7 @@
   AttemptId attempt;
   std::string kind;
   std::uint8_t repeatable = 0;
+  std::uint8_t yields = 0; // its caller is heavy: leaves a reserve of slots
   std::int64_t deadlineMillis = 0; // wall time
   TraceContext trace;
   std::string request; // HTTP/1.1 text
--- a/standins/backend.cpp
+++ b/standins/backend.cpp
@@ -12,7 +12,7 @@
 
 #include <docopt/docopt.h>
 
-#include <cstdio>
+#include <cmath>
 #include <fstream>
 #include <random>
 
@@ -129,7 +129,7 @@
     const bool cold = clock_.Now() - start_ < init_.cold;
     const auto mean = init_.workMillis / (cold ? speed_ / 4 : speed_);
     std::uniform_real_distribution<double> spread(0.5, 1.5);
-    return Millis{ static_cast<std::int64_t>(mean * spread(random_) + 0.5) };
+    return Millis{ std::lround(mean * spread(random_)) };
   }
 
   auto Work(Stream& aStream, const HttpIn& aRequest, HttpOut& aResponse)
--- a/standins/callers.cpp
+++ b/standins/callers.cpp
@@ -354,7 +354,7 @@
     if (flow.State() == StreamState::Established && !aClient.established) {
       aClient.established = true;
       Note() << "event=flow_established flow=" << ToText(aClient.key)
-                          << " t=" << Wall() << "\n";
+             << " t=" << Wall() << "\n";
       // Long pauses start at a random point, so that flows do not ask at once.
       if (aClient.load->think > 1000) {
         aClient.nextAt =
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -12,8 +12,7 @@
 
 using std::chrono::seconds;
 
-auto
-MakeTicket(std::uint64_t aId, const std::string& aCaller, TimePoint aNow)
+auto MakeTicket(std::uint64_t aId, const std::string& aCaller, TimePoint aNow)
   -> Ticket
 {
   return { aId, aCaller, 1, 1, aNow + seconds(60), aNow };
@@ -236,9 +235,12 @@
       candidates[i].limit = 1 + random() % 4;
       candidates[i].busy = random() % 5;
     }
-    for (const auto kind : { PlacementKind::Spare, PlacementKind::FlowsOnly,
-                             PlacementKind::TwoChoices, PlacementKind::Random,
-                             PlacementKind::RoundRobin, PlacementKind::Hash }) {
+    for (const auto kind : { PlacementKind::Spare,
+                             PlacementKind::FlowsOnly,
+                             PlacementKind::TwoChoices,
+                             PlacementKind::Random,
+                             PlacementKind::RoundRobin,
+                             PlacementKind::Hash }) {
       const auto policy = MakePlacement(kind, aSeed);
       const auto flow = policy->PlaceFlow(candidates, aSeed);
       RC_ASSERT(flow == Placement::kNone || candidates[flow].usable);
@@ -252,10 +254,12 @@
 {
   Directory directory;
   const auto flow = FlowNumber(1);
-  EXPECT_EQ(directory.Register({ flow, Agent(1), 1, 0 }), RegisterResult::Taken);
+  EXPECT_EQ(directory.Register({ flow, Agent(1), 1, 0 }),
+            RegisterResult::Taken);
   EXPECT_EQ(directory.Register({ flow, Agent(2), 1, 0 }),
             RegisterResult::Rejected);
-  EXPECT_EQ(directory.Register({ flow, Agent(2), 2, 0 }), RegisterResult::Moved);
+  EXPECT_EQ(directory.Register({ flow, Agent(2), 2, 0 }),
+            RegisterResult::Moved);
   directory.Release(flow, Agent(1));
   EXPECT_EQ(directory.Find(flow)->owner, Agent(2));
   EXPECT_EQ(directory.FlowsOf(Agent(2)).size(), 1U);
--- a/tests/document_test.cpp
+++ b/tests/document_test.cpp
@@ -28,9 +28,9 @@
 failure_domain = x
 )";
 
-auto
-Replace(std::string aText, const std::string& aFrom, const std::string& aTo)
-  -> std::string
+auto Replace(std::string aText,
+             const std::string& aFrom,
+             const std::string& aTo) -> std::string
 {
   return aText.replace(aText.find(aFrom), aFrom.size(), aTo);
 }
@@ -65,7 +65,9 @@
     Fault{ "10.0.0.2:80", "10.0.0.1:80", "overlaps" },
     Fault{ "service = b", "service = a", "may not edit" },
     Fault{ "service = b", "service = c", "unknown service" },
-    Fault{ "owner = tides\naddresses", "owner = sea\naddresses", "unknown owner" },
+    Fault{ "owner = tides\naddresses",
+           "owner = sea\naddresses",
+           "unknown owner" },
     Fault{ "addresses = 10.0.0.1:80",
            "addresses = 10.0.0.1:80\nfirst_packets = 50",
            "without unit" },
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -62,7 +62,10 @@
     nodes_[aNode].pausedUntil = clock_.Now() + aTime;
   }
   auto Cut(std::uint64_t aSide) -> void { cut_ = aSide; }
-  auto Members(std::size_t aNode) -> Membership& { return *nodes_[aNode].members; }
+  auto Members(std::size_t aNode) -> Membership&
+  {
+    return *nodes_[aNode].members;
+  }
   auto FalseDeaths() const -> std::size_t { return falseDeaths_; }
   auto SlowestDetection() const -> Millis { return slowest_; }
 
@@ -144,12 +147,14 @@
       }
       auto& members = *nodes_[to].members;
       const auto sender = Agent(static_cast<std::uint16_t>(from));
-      members.Hear(sender, Role::Agent, nodes_[from].members->SelfIncarnation());
+      members.Hear(
+        sender, Role::Agent, nodes_[from].members->SelfIncarnation());
       if (const auto* probe = std::get_if<Probe>(&message)) {
         const auto actions = members.TakeProbe(sender, *probe);
         if (actions.probes.empty()) {
           const auto self = Agent(static_cast<std::uint16_t>(to));
-          Send(to, from, ProbeAck{ probe->sequence, self, members.TakeFacts(6) });
+          Send(
+            to, from, ProbeAck{ probe->sequence, self, members.TakeFacts(6) });
         }
         Act(to, actions);
       } else if (const auto* ack = std::get_if<ProbeAck>(&message)) {
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -34,7 +34,7 @@
     DocumentPull{ 3 },
     DocumentReply{ 1, 2, 3, { { "service a", "x = 1" } }, { { "b", "" } } },
     ExecuteRequest{
-      ServiceId{ 1 }, { 1, 2 }, "kind", 1, 5, {}, "GET / HTTP/1.1" },
+      ServiceId{ 1 }, { 1, 2 }, "kind", 1, 1, 5, {}, "GET / HTTP/1.1" },
     ExecuteReply{ Outcome::NotRun, {}, "answer", "cause" },
     KeyClaim{ ServiceId{ 1 }, "key", "caller", { 1, 2 }, 4 },
     KeyClaimReply{ ClaimResult::Granted, "answer" },
