--- /dev/null
+++ b/examples/02-status/status.cpp
@@ -0,0 +1,16 @@
+// Asks processes of a running fleet which document is in force there.
+
+#include "damaskwalk/damaskwalk.h"
+
+#include <iostream>
+
+auto main(int aCount, char** aArguments) -> int
+{
+  for (int i = 1; i < aCount; ++i) {
+    damaskwalk::QueryInit query;
+    query.address = aArguments[i];
+    const auto result = damaskwalk::QueryStatus(query);
+    std::cout << (result.ok ? result.json : "no reply") << "\n";
+  }
+  return 0;
+}
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -278,6 +278,7 @@
   status["queued"] = load.queued;
   status["utilisation"] = load.utilisation / 1e6;
   status["service_seconds"] = load.serviceMicros / 1e6;
+  directory_.Status(status);
   status["key_records"] = board_.keys.RecordCount();
   status["key_lease"] = board_.keys.HoldsLease();
   return status;
--- a/src/agent/directory.cpp
+++ b/src/agent/directory.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/log.h"
 
+#include <boost/json.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
@@ -498,6 +499,15 @@
   board_.Note("event=flow_reset flow=" + ToText(aFlow) + " cause=" + aCause);
 }
 
+auto DirectoryController::Status(boost::json::object& aStatus) const -> void
+{
+  aStatus["flows_placed"] = placed_.Value();
+  aStatus["packets_relayed"] = relayed_.Value();
+  aStatus["flows_recovered"] = recovered_.Value();
+  aStatus["flows_reset"] = resets_.Value();
+  aStatus["hints_sent"] = hints_.Value();
+}
+
 auto DirectoryController::PendingCount() -> std::size_t
 {
   const std::lock_guard lock(pendingMutex_);
--- a/src/agent/directory.h
+++ b/src/agent/directory.h
@@ -24,6 +24,7 @@
   auto RegisterAll() -> void;
   auto OnMembers(const std::vector<MemberChange>& aChanges) -> void;
   auto PendingCount() -> std::size_t;
+  auto Status(boost::json::object& aStatus) const -> void;
 
 private:
   struct Pending
