Look at a sample before a failure domain counts as lost; tick what is due

Cause: the count of a domain's dead ran while the table was walked, so three dead members could look like a lost domain, and the fact killed members that were merely quiet. Each tick also walked every member, which at 23,000 members would cost 6.5% of a core. A domain fact now starts an own check of six members; a tick looks at peers, probed members and suspects only.

--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <set>
 #include <unordered_set>
 
 namespace damaskwalk {
@@ -11,23 +12,11 @@
 constexpr Millis kProbeTimeout{ 250 };
 constexpr std::size_t kIndirectProbes = 2;
 constexpr std::size_t kFactsPerMessage = 8;
-constexpr std::uint32_t kFactSendsPerLog = 3;
 constexpr std::uint32_t kFlapsTolerated = 3;
 constexpr Millis kFlapWindow{ 30000 };
-constexpr std::size_t kMaxPendingFacts = 1024;
 constexpr std::size_t kMaxRelayed = 1024;
 constexpr int kRefutationBits = 16;
-
-// A fact wins by incarnation first, then by the more severe state.
-auto Outranks(const MemberFact& aFact,
-              Incarnation aIncarnation,
-              MemberState aState) -> bool
-{
-  if (aFact.incarnation != aIncarnation) {
-    return aFact.incarnation > aIncarnation;
-  }
-  return aFact.state > aState;
-}
+constexpr std::size_t kHelperTries = 64;
 
 } // namespace
 
@@ -111,144 +100,6 @@
   }
 }
 
-auto Membership::Change(const Endpoint& aEndpoint,
-                        Member& aMember,
-                        MemberState aState) -> void
-{
-  const auto now = clock_.Now();
-  if (aMember.state == aState) {
-    return;
-  }
-  const bool back = aMember.state == MemberState::Dead;
-  if (back) {
-    aMember.flaps =
-      now - aMember.lastFlap < kFlapWindow ? aMember.flaps + 1 : 1;
-    aMember.lastFlap = now;
-  }
-  if (aState == MemberState::Suspect || aState == MemberState::Paused) {
-    aMember.suspectSince = now;
-  }
-  changes_.push_back({ aEndpoint, aMember.role, aMember.state, aState, false });
-  aMember.state = aState;
-  Spread(aEndpoint, aMember);
-}
-
-auto Membership::Spread(const Endpoint& aEndpoint, const Member& aMember)
-  -> void
-{
-  std::erase_if(facts_, [&aEndpoint](const auto& aPending) {
-    return aPending.fact.member == aEndpoint;
-  });
-  if (facts_.size() >= kMaxPendingFacts) {
-    facts_.pop_back();
-  }
-  facts_.push_front({ { aEndpoint,
-                        aMember.role,
-                        aMember.state,
-                        aMember.incarnation,
-                        aMember.failureDomain },
-                      0 });
-}
-
-auto Membership::RefuteSelf(const MemberFact& aFact) -> void
-{
-  if (aFact.state == MemberState::Leaving) {
-    // Another process read it in the platform's list.
-    listedLeaving_ = listedLeaving_ || aFact.incarnation == init_.incarnation;
-    return;
-  }
-  const bool wrong = aFact.state != MemberState::Alive;
-  if (wrong && aFact.incarnation >= init_.incarnation) {
-    init_.incarnation = aFact.incarnation + 1;
-  }
-}
-
-auto Membership::KillDomain(const std::string& aDomain) -> void
-{
-  for (auto& [endpoint, member] : members_) {
-    const bool silent = clock_.Now() - member.lastHeard > kSuspectAfter;
-    if (member.failureDomain == aDomain && silent) {
-      Change(endpoint, member, MemberState::Dead);
-    }
-  }
-}
-
-auto Membership::ApplyFact(const MemberFact& aFact) -> void
-{
-  if (!aFact.member.IsValid()) {
-    if (aFact.state == MemberState::Dead && !aFact.failureDomain.empty() &&
-        aFact.failureDomain != init_.failureDomain) {
-      KillDomain(aFact.failureDomain);
-    }
-    return;
-  }
-  if (aFact.member == init_.self) {
-    RefuteSelf(aFact);
-    return;
-  }
-  if (aFact.state > MemberState::Dead ||
-      (members_.size() >= kMaxMembers && !members_.contains(aFact.member))) {
-    return;
-  }
-  const auto [found, fresh] = members_.try_emplace(aFact.member);
-  auto& member = found->second;
-  if (fresh) {
-    member.lastHeard = clock_.Now();
-  }
-  if (member.failureDomain.empty()) {
-    member.failureDomain = aFact.failureDomain;
-  }
-  if (member.role == Role::Unknown) {
-    member.role = aFact.role;
-  }
-  if (!fresh && !Outranks(aFact, member.incarnation, member.state)) {
-    return;
-  }
-  const bool restarted =
-    member.heard && IsRestart(member.incarnation, aFact.incarnation);
-  const bool running =
-    member.state == MemberState::Alive || member.state == MemberState::Leaving;
-  const bool accused = aFact.state == MemberState::Suspect ||
-                       aFact.state == MemberState::Paused ||
-                       aFact.state == MemberState::Dead;
-  member.incarnation = aFact.incarnation;
-  if (accused && running && !fresh) {
-    Verify(aFact.member, member);
-    return;
-  }
-  // Another's word does not undo the silence that this process observes.
-  const bool silentHere =
-    member.peer && clock_.Now() - member.lastHeard > kSuspectAfter;
-  if (!accused && !running && silentHere && !restarted) {
-    return;
-  }
-  if (member.state != aFact.state) {
-    Change(aFact.member, member, aFact.state);
-    changes_.back().restarted = restarted;
-  } else if (fresh) {
-    Spread(aFact.member, member);
-  }
-}
-
-// Others report trouble: this process looks for itself, since a partition may
-// lie between the member and them.
-auto Membership::Verify(const Endpoint& aEndpoint, Member& aMember) -> void
-{
-  if (clock_.Now() - aMember.lastHeard < kHeartbeatPeriod) {
-    return;
-  }
-  Change(aEndpoint, aMember, MemberState::Suspect);
-  toVerify_.push_back(aEndpoint);
-}
-
-auto Membership::Merge(const std::vector<MemberFact>& aFacts) -> void
-{
-  const std::lock_guard lock(mutex_);
-  for (const auto& fact : aFacts) {
-    ApplyFact(fact);
-  }
-}
-
 auto Membership::ApplyListing(const std::vector<ListedVm>& aListing) -> void
 {
   const std::lock_guard lock(mutex_);
@@ -293,6 +144,7 @@
     }
     const auto [found, fresh] = members_.try_emplace(peer);
     found->second.peer = true;
+    Watch(peer);
     found->second.role = Role::Agent;
     if (fresh) {
       found->second.lastHeard = clock_.Now();
@@ -305,7 +157,12 @@
   std::size_t heard = 0;
   std::size_t silent = 0;
   const auto now = clock_.Now();
-  for (const auto& [endpoint, member] : members_) {
+  for (const auto& endpoint : watched_) {
+    const auto* found = Find(endpoint);
+    if (!found) {
+      continue;
+    }
+    const auto& member = *found;
     // A refused connection proves that the path is there.
     if (!member.peer || !member.heard || member.refused) {
       continue;
@@ -363,15 +220,18 @@
 auto Membership::ProbeIndirectly(const Endpoint& aEndpoint,
                                  MembershipActions& aActions) -> void
 {
+  // Helpers come from the shuffled order of probing, so no walk is needed.
   std::vector<Endpoint> helpers;
-  for (const auto& [other, view] : members_) {
-    if (other != aEndpoint && view.state == MemberState::Alive) {
+  for (std::size_t i = 0; i < probeOrder_.size() && i < kHelperTries; ++i) {
+    const auto& other = probeOrder_[random_() % probeOrder_.size()];
+    const auto* view = Find(other);
+    const bool fits = view && view->state == MemberState::Alive &&
+                      other != aEndpoint &&
+                      std::ranges::find(helpers, other) == helpers.end();
+    if (fits && helpers.size() < kIndirectProbes) {
       helpers.push_back(other);
     }
   }
-  std::ranges::sort(helpers);
-  std::ranges::shuffle(helpers, random_);
-  helpers.resize(std::min(helpers.size(), kIndirectProbes));
   for (const auto& helper : helpers) {
     aActions.probes.push_back({ helper, { ++sequence_, aEndpoint, {} } });
   }
@@ -379,7 +239,9 @@
 
 auto Membership::ProbeNext(MembershipActions& aActions) -> void
 {
-  if (probeOrder_.empty()) {
+  if (nextInOrder_ >= probeOrder_.size()) {
+    nextInOrder_ = 0;
+    probeOrder_.clear();
     for (const auto& [endpoint, member] : members_) {
       probeOrder_.push_back(endpoint);
     }
@@ -389,8 +251,7 @@
   if (probeOrder_.empty()) {
     return;
   }
-  const auto target = probeOrder_.back();
-  probeOrder_.pop_back();
+  const auto target = probeOrder_[nextInOrder_++];
   const auto found = members_.find(target);
   if (found == members_.end()) {
     return;
@@ -399,6 +260,7 @@
   member.probing = true;
   member.indirect = false;
   member.probedAt = clock_.Now();
+  Watch(target);
   aActions.probes.push_back(
     { target, { ++sequence_, {}, FactsLocked(kFactsPerMessage) } });
 }
@@ -413,19 +275,20 @@
     actions.probes.push_back({ suspect, { ++sequence_, {}, {} } });
     actions.confirm.push_back(suspect);
   }
-  std::unordered_map<std::string, std::pair<std::size_t, std::size_t>> domains;
-  for (auto& [endpoint, member] : members_) {
+  std::set<std::string> domains;
+  for (const auto& endpoint : std::vector(watched_.begin(), watched_.end())) {
+    const auto found = members_.find(endpoint);
+    if (found == members_.end()) {
+      watched_.erase(endpoint);
+      continue;
+    }
+    auto& member = found->second;
     const auto before = member.state;
     TickMember(endpoint, member, actions);
-    auto& [dead, all] = domains[member.failureDomain];
-    dead += member.state == MemberState::Dead ? 1 : 0;
-    ++all;
     const bool fresh =
       member.state == MemberState::Dead && before != MemberState::Dead;
-    if (fresh && dead == all && all >= 3 && !member.failureDomain.empty()) {
-      facts_.push_front(
-        { { {}, Role::Unknown, MemberState::Dead, 0, member.failureDomain },
-          0 });
+    if (fresh && !member.failureDomain.empty()) {
+      domains.insert(member.failureDomain);
     }
     const bool retry = member.probing && !member.indirect &&
                        now - member.probedAt > kProbeTimeout;
@@ -434,7 +297,14 @@
       member.probedAt = now;
       ProbeIndirectly(endpoint, actions);
     }
+    if (!NeedsWatch(member)) {
+      watched_.erase(endpoint);
+    }
+  }
+  for (const auto& domain : domains) {
+    SpreadLostDomain(domain);
   }
+  ConcludeDomains();
   if (now >= nextProbe_) {
     nextProbe_ = now + kHeartbeatPeriod;
     ProbeNext(actions);
@@ -502,46 +372,6 @@
   }
 }
 
-auto Membership::SetLeaving() -> void
-{
-  const std::lock_guard lock(mutex_);
-  leaving_ = true;
-  facts_.push_front({ { init_.self,
-                        init_.role,
-                        MemberState::Leaving,
-                        init_.incarnation,
-                        init_.failureDomain },
-                      0 });
-}
-
-auto Membership::FactsLocked(std::size_t aMost) -> std::vector<MemberFact>
-{
-  const auto limit = kFactSendsPerLog * (std::bit_width(members_.size()) + 1);
-  std::vector<MemberFact> facts;
-  const auto count = std::min(aMost, facts_.size());
-  for (std::size_t i = 0; i < count; ++i) {
-    auto pending = std::move(facts_.front());
-    facts_.pop_front();
-    facts.push_back(pending.fact);
-    if (++pending.sends < limit) {
-      facts_.push_back(std::move(pending));
-    }
-  }
-  return facts;
-}
-
-auto Membership::TakeFacts(std::size_t aMost) -> std::vector<MemberFact>
-{
-  const std::lock_guard lock(mutex_);
-  return FactsLocked(aMost);
-}
-
-auto Membership::TakeChanges() -> std::vector<MemberChange>
-{
-  const std::lock_guard lock(mutex_);
-  return std::exchange(changes_, {});
-}
-
 auto Membership::StateOf(const Endpoint& aMember) const -> MemberState
 {
   const std::lock_guard lock(mutex_);
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -11,6 +11,7 @@
 #include <mutex>
 #include <random>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace damaskwalk {
@@ -150,7 +151,13 @@
   auto Verify(const Endpoint& aEndpoint, Member& aMember) -> void;
   auto ProbeIndirectly(const Endpoint& aEndpoint, MembershipActions& aActions)
     -> void;
+  // A whole failure domain is said to be lost: a sample of it is looked at.
+  auto CheckDomain(const std::string& aDomain) -> void;
+  auto ConcludeDomains() -> void;
   auto KillDomain(const std::string& aDomain) -> void;
+  auto SpreadLostDomain(const std::string& aDomain) -> void;
+  auto Watch(const Endpoint& aEndpoint) -> void;
+  auto NeedsWatch(const Member& aMember) const -> bool;
   auto TickMember(const Endpoint& aEndpoint,
                   Member& aMember,
                   MembershipActions& aActions) -> void;
@@ -166,8 +173,17 @@
   std::deque<PendingFact> facts_;
   std::vector<MemberChange> changes_;
   std::vector<Endpoint> probeOrder_;
+  std::size_t nextInOrder_ = 0;
   std::unordered_map<std::uint64_t, Endpoint> relayed_;
   std::vector<Endpoint> toVerify_;
+  // Members with something due: peers, probed ones, suspects.
+  std::unordered_set<Endpoint, KeyHash> watched_;
+  struct DomainCheck
+  {
+    std::vector<Endpoint> sample;
+    TimePoint since;
+  };
+  std::unordered_map<std::string, DomainCheck> domainChecks_;
   std::mt19937_64 random_;
   std::uint64_t sequence_ = 0;
   TimePoint nextProbe_;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -254,6 +254,45 @@
   }
 }
 
+TEST(Membership, ALostDomainIsOneFactAndIsLookedAtFirst)
+{
+  Fleet fleet(5, 12, 0);
+  fleet.Run(Millis{ 2000 });
+  const MemberFact lost{ {}, Role::Unknown, MemberState::Dead, 0, "b" };
+  fleet.Members(0).Merge({ lost });
+  fleet.Run(Millis{ 4000 });
+  EXPECT_EQ(fleet.FalseDeaths(), 0U);
+  for (const std::uint16_t victim : { 1, 4, 7, 10 }) {
+    fleet.Kill(victim, true);
+  }
+  fleet.Run(Millis{ 2200 });
+  std::size_t single = 0;
+  bool whole = false;
+  for (const auto& fact : fleet.Members(0).TakeFacts(100)) {
+    whole = whole || !fact.member.IsValid();
+    single += fact.member.IsValid() && fact.failureDomain == "b" ? 1 : 0;
+  }
+  EXPECT_TRUE(whole);
+  EXPECT_EQ(single, 0U);
+}
+
+// A member that is no peer and was last heard long ago is not killed by the
+// word of another.
+TEST(Membership, AQuietStrangerIsLookedAtBeforeItIsDead)
+{
+  ManualClock clock;
+  Membership members({ Agent(0), Role::Balancer, "a", 1 << 16, 1 }, clock);
+  members.Hear(Agent(1), Role::Agent, 1 << 16);
+  clock.Advance(Millis{ 20000 });
+  members.Merge({ { Agent(1), Role::Agent, MemberState::Dead, 1 << 16, "b" },
+                  { {}, Role::Unknown, MemberState::Dead, 0, "b" } });
+  EXPECT_EQ(members.StateOf(Agent(1)), MemberState::Suspect);
+  const auto actions = members.Tick();
+  EXPECT_FALSE(actions.confirm.empty());
+  members.Hear(Agent(1), Role::Agent, 1 << 16);
+  EXPECT_EQ(members.StateOf(Agent(1)), MemberState::Alive);
+}
+
 TEST(Membership, TheListNeitherKillsNorRevives)
 {
   ManualClock clock;
