--- a/bench/bench_decisions.cpp
+++ b/bench/bench_decisions.cpp
@@ -115,16 +115,21 @@
   ->Arg(3400)
   ->Unit(benchmark::kMillisecond);
 
+auto HearMany(Membership& aMembers, std::int64_t aCount) -> void
+{
+  for (std::int64_t i = 0; i < aCount; ++i) {
+    const Endpoint member{ static_cast<std::uint32_t>(2 + i), 7000 };
+    aMembers.Hear(member, Role::Agent, 1);
+  }
+}
+
 // One tick of a balancer that knows Range(0) members, and what it copies to
 // choose peers or readers.
 void MembershipTick(benchmark::State& aState)
 {
   ManualClock clock;
   Membership members({ { 1, 1 }, Role::Balancer, "a", 1, 1 }, clock);
-  for (std::int64_t i = 0; i < aState.range(0); ++i) {
-    const Endpoint member{ static_cast<std::uint32_t>(2 + i), 7000 };
-    members.Hear(member, Role::Agent, 1);
-  }
+  HearMany(members, aState.range(0));
   for (auto _ : aState) {
     clock.Advance(Millis{ 50 });
     benchmark::DoNotOptimize(members.Tick());
@@ -136,10 +141,7 @@
 {
   ManualClock clock;
   Membership members({ { 1, 1 }, Role::Balancer, "a", 1, 1 }, clock);
-  for (std::int64_t i = 0; i < aState.range(0); ++i) {
-    const Endpoint member{ static_cast<std::uint32_t>(2 + i), 7000 };
-    members.Hear(member, Role::Agent, 1);
-  }
+  HearMany(members, aState.range(0));
   for (auto _ : aState) {
     benchmark::DoNotOptimize(members.RankInDomain(7));
     benchmark::DoNotOptimize(members.Sample(4));
--- /dev/null
+++ b/src/agent/requests_claims.cpp
@@ -0,0 +1,108 @@
+// Claims of requests that may not be repeated: asking the key's home before
+// such a request is queued, and telling it what became of it.
+
+#include "agent/requests.h"
+
+namespace damaskwalk {
+
+namespace {
+
+// A grant counts only when it arrives within this time after the claim was
+// sent: nobody can have taken the key's home over by then.
+constexpr Millis kClaimWindow = kDeadAfter - kKeyLease - Millis{ 50 };
+constexpr Millis kClaimRetry{ 60 };
+
+} // namespace
+
+auto RequestController::ClaimThenEnqueue(RequestPtr aRequest) -> Task<void>
+{
+  const auto document = board_.node.Board().documents.Current();
+  const auto* service = document->FindByAddress(aRequest->flow.address);
+  const KeyClaim claim{ service ? service->id : ServiceId{},
+                        aRequest->http.idempotencyKey,
+                        aRequest->http.caller,
+                        aRequest->attempt,
+                        aRequest->http.issuedMillis };
+  KeyClaimReply reply;
+  reply.result = ClaimResult::NotHome;
+  while (reply.result == ClaimResult::NotHome &&
+         board_.Now() < aRequest->deadline) {
+    for (const auto& home : board_.keys.Order(claim.caller, claim.key)) {
+      if (home == board_.node.Self()) {
+        reply = board_.keys.Claim(claim);
+      } else if (!board_.node.Board().members.IsDead(home)) {
+        const auto sent = board_.Now();
+        auto outcome = co_await board_.node.Call(home, claim, kClaimWindow);
+        const auto* answer = std::get_if<KeyClaimReply>(&outcome.message);
+        const bool late = board_.Now() - sent > kClaimWindow;
+        const bool told =
+          outcome.status == CallStatus::Replied && answer && !late;
+        if (told) {
+          reply = *answer;
+        }
+      }
+      if (reply.result != ClaimResult::NotHome) {
+        break;
+      }
+    }
+    if (reply.result == ClaimResult::NotHome) {
+      co_await board_.node.Sleep(kClaimRetry);
+    }
+  }
+  --inFlight_;
+  board_.Note("event=key_claimed request=" + aRequest->http.requestId +
+              " result=" + std::to_string(static_cast<int>(reply.result)));
+  if (reply.result == ClaimResult::Recorded) {
+    Finish(aRequest, Outcome::Answered, reply.answer, "recorded_answer");
+    co_return;
+  }
+  if (reply.result != ClaimResult::Granted) {
+    // An earlier attempt may have run.
+    GiveUp(aRequest, Outcome::Unknown, "key_not_granted");
+    co_return;
+  }
+  aRequest->claimed = true;
+  const auto refusal = Enqueue(aRequest);
+  if (refusal != Refusal::None) {
+    GiveUp(aRequest, Outcome::NotRun, ToText(refusal));
+    co_return;
+  }
+  Pump();
+}
+
+auto RequestController::TakeClaim(const KeyClaim& aClaim) -> KeyClaimReply
+{
+  if (!board_.node.IsCurrent()) {
+    return { ClaimResult::NotHome, {} };
+  }
+  return board_.keys.Claim(aClaim);
+}
+
+auto RequestController::TellHome(RequestPtr aRequest,
+                                 Outcome aOutcome,
+                                 std::string aText) -> Task<void>
+{
+  const auto document = board_.node.Board().documents.Current();
+  const auto* service = document->FindByAddress(aRequest->flow.address);
+  const KeyOutcome told{ service ? service->id : ServiceId{},
+                         aRequest->http.idempotencyKey,
+                         aRequest->http.caller,
+                         aRequest->attempt,
+                         aOutcome,
+                         std::move(aText) };
+  for (const auto& home : board_.keys.Order(told.caller, told.key)) {
+    if (home == board_.node.Self()) {
+      board_.keys.Finish(told);
+      co_return;
+    }
+    if (board_.node.Board().members.IsDead(home)) {
+      continue;
+    }
+    const auto outcome = co_await board_.node.Call(home, told, Millis{ 500 });
+    if (outcome.status == CallStatus::Replied) {
+      co_return;
+    }
+  }
+}
+
+} // namespace damaskwalk
