Drop flow fields that nothing read; look a request's service up once

Cause: Flow::registered was never used and Flow::feedFaults only written, so the check of a feed's reading hid behind a count; claims looked the service up twice in the same words. Behaviour is as it was.

--- a/src/agent/board.h
+++ b/src/agent/board.h
@@ -104,7 +104,6 @@
   Stream stream;
   FlowPhase phase = FlowPhase::Idle;
   bool frozen = false;
-  bool registered = false;
   TimePoint created;
   RequestPtr request;
   // Attempt that a former owner claimed for the next request; used once.
@@ -115,8 +114,7 @@
   std::string feedRequest;
   std::string lastEventId;
   bool feedStarted = false;
-  std::uint32_t feedRun = 0;    // raised to stop the reader of a feed
-  std::uint32_t feedFaults = 0; // failed connections since the last event
+  std::uint32_t feedRun = 0; // raised to stop the reader of a feed
 };
 
 struct FlowShard
--- a/src/agent/feeds.cpp
+++ b/src/agent/feeds.cpp
@@ -92,7 +92,7 @@
       co_return;
     }
     co_await Read(*reading);
-    if (!NoteFault(*reading)) {
+    if (!IsWanted(*reading)) {
       co_return;
     }
     co_await board_.node.Sleep(kReconnectAfter);
@@ -187,7 +187,6 @@
     if (auto id = EventId(event); !id.empty()) {
       flow.lastEventId = std::move(id);
     }
-    flow.feedFaults = 0;
     flow.stream.Write(ToChunk(event));
     events_.Increment();
   }
@@ -208,16 +207,12 @@
          found->second->stream.Unsent() > kMostUnsent;
 }
 
-auto FeedController::NoteFault(const Reading& aReading) -> bool
+auto FeedController::IsWanted(const Reading& aReading) -> bool
 {
   auto& shard = board_.flows.ShardOf(aReading.flow);
   const std::lock_guard lock(shard.mutex);
   const auto found = shard.flows.find(aReading.flow);
-  if (found == shard.flows.end() || found->second->feedRun != aReading.run) {
-    return false;
-  }
-  ++found->second->feedFaults;
-  return true;
+  return found != shard.flows.end() && found->second->feedRun == aReading.run;
 }
 
 } // namespace damaskwalk
--- a/src/agent/feeds.h
+++ b/src/agent/feeds.h
@@ -28,7 +28,8 @@
   // Writes whole events; false when the flow went on without this reading.
   auto Deliver(const Reading& aReading, std::string& aBytes) -> bool;
   auto Begin(const Reading& aReading) -> bool;
-  auto NoteFault(const Reading& aReading) -> bool;
+  // False when the flow ended or went on without this reading.
+  auto IsWanted(const Reading& aReading) -> bool;
   auto IsFull(const Reading& aReading) -> bool;
 
   AgentBoard& board_;
--- a/src/agent/flows.cpp
+++ b/src/agent/flows.cpp
@@ -185,7 +185,6 @@
   aFlow.feedRequest = aHttp.text;
   aFlow.lastEventId = aHttp.lastEventId;
   aFlow.feedStarted = false;
-  aFlow.feedFaults = 0;
   ++aFlow.feedRun;
   board_.feeds.Put(aFlow.key);
 }
--- a/src/agent/requests.h
+++ b/src/agent/requests.h
@@ -29,6 +29,8 @@
   auto TakeSubmitted(std::vector<RequestPtr> aRequests) -> void;
   auto Admit(const RequestPtr& aRequest) -> void;
   auto Enqueue(const RequestPtr& aRequest) -> Refusal;
+  // The service that has the flow's address now; invalid when none has it.
+  auto ServiceOf(const Request& aRequest) const -> ServiceId;
   auto ClaimThenEnqueue(RequestPtr aRequest) -> Task<void>;
   auto Pump() -> void;
   auto NextDispatch() -> std::optional<Dispatch>;
--- a/src/agent/requests_claims.cpp
+++ b/src/agent/requests_claims.cpp
@@ -14,11 +14,16 @@
 
 } // namespace
 
-auto RequestController::ClaimThenEnqueue(RequestPtr aRequest) -> Task<void>
+auto RequestController::ServiceOf(const Request& aRequest) const -> ServiceId
 {
   const auto document = board_.node.Board().documents.Current();
-  const auto* service = document->FindByAddress(aRequest->flow.address);
-  const KeyClaim claim{ service ? service->id : ServiceId{},
+  const auto* service = document->FindByAddress(aRequest.flow.address);
+  return service ? service->id : ServiceId{};
+}
+
+auto RequestController::ClaimThenEnqueue(RequestPtr aRequest) -> Task<void>
+{
+  const KeyClaim claim{ ServiceOf(*aRequest),
                         aRequest->http.idempotencyKey,
                         aRequest->http.caller,
                         aRequest->attempt,
@@ -82,9 +87,7 @@
                                  Outcome aOutcome,
                                  std::string aText) -> Task<void>
 {
-  const auto document = board_.node.Board().documents.Current();
-  const auto* service = document->FindByAddress(aRequest->flow.address);
-  const KeyOutcome told{ service ? service->id : ServiceId{},
+  const KeyOutcome told{ ServiceOf(*aRequest),
                          aRequest->http.idempotencyKey,
                          aRequest->http.caller,
                          aRequest->attempt,
