--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PACKAGES = g++ cmake ninja-build python3 clang-format clang-tidy \
   libboost1.81-dev libdocopt-dev libgoogle-glog-dev librapidcheck-dev \
   prometheus-cpp-dev libcereal-dev libsimpleini-dev libxxhash-dev \
-  libgtest-dev libbenchmark-dev zlib1g-dev
+  libgtest-dev libbenchmark-dev zlib1g-dev libspdlog-dev
 SUDO = $(shell [ $$(id -u) = 0 ] || echo sudo)
 export RC_PARAMS ?= seed=20261204 max_success=200
 
--- /dev/null
+++ b/src/relay/agent_relay.cpp
@@ -0,0 +1,489 @@
+#include "relay/agent_relay.h"
+
+#include "relay/limits.h"
+
+#include <algorithm>
+
+namespace damaskwalk {
+
+namespace {
+
+// True when sequence number a lies at or after b, modulo 2^32.
+auto AtOrAfter(std::uint32_t aLeft, std::uint32_t aRight) -> bool
+{
+  return static_cast<std::int32_t>(aLeft - aRight) >= 0;
+}
+
+} // namespace
+
+AgentRelay::AgentRelay(const AgentRelayInit& aInit,
+                       const FleetState& aState,
+                       LoadBoard& aLoad,
+                       const ContentReader& aReader,
+                       const Clock& aClock,
+                       EventSink& aLog)
+  : init_(aInit)
+  , state_(aState)
+  , load_(aLoad)
+  , reader_(aReader)
+  , clock_(aClock)
+  , log_(aLog)
+  , order_(aState, aLoad)
+  , meter_(aClock)
+  , startedAt_(aClock.Now())
+{
+}
+
+auto AgentRelay::IdleTimeout() const -> Millis
+{
+  const auto timeout = state_.Routes().idleTimeout;
+  return timeout.count() > 0 ? timeout : kDefaultIdleTimeout;
+}
+
+auto AgentRelay::OnCallerPacket(Packet aPacket, RelayPort& aPort) -> void
+{
+  if (aPacket.opens) {
+    OnFirstPacket(aPacket, aPort);
+  } else {
+    OnLaterPacket(aPacket, aPort);
+  }
+}
+
+auto AgentRelay::Objection(const RelayRoute& aRoute) const -> const char*
+{
+  if (!aRoute.Allows(init_.service)) {
+    return "other_service";
+  }
+  const auto* own = state_.FindAgent(init_.self);
+  if (!own || own->standing == TargetStanding::Gone) {
+    return "not_registered";
+  }
+  if (own->standing == TargetStanding::Leaving) {
+    return "draining";
+  }
+  return meter_.IsFit() ? nullptr : "not_answering";
+}
+
+auto AgentRelay::OnFirstPacket(Packet& aPacket, RelayPort& aPort) -> void
+{
+  const auto found = flows_.find(aPacket.flow);
+  if (found != flows_.end()) {
+    Deliver(found->second, aPacket, aPort);
+    return;
+  }
+  const auto* route = state_.FindRoute(aPacket.flow.address);
+  if (!route) {
+    return;
+  }
+  if (const auto* objection = Objection(*route)) {
+    Redirect(aPacket, *route, objection, aPort);
+    return;
+  }
+  if (flows_.size() >= kMaxAgentFlows) {
+    Redirect(aPacket, *route, "table_full", aPort);
+    return;
+  }
+  auto& own = flows_[aPacket.flow];
+  own.balancer = aPacket.tag.balancer;
+  own.callerNext = aPacket.sequence + 1;
+  openings_[aPacket.flow] = { std::string(aPacket.bytes.data(),
+                                          aPacket.bytes.size()),
+                              aPacket.tag,
+                              clock_.Now() };
+  Deliver(own, aPacket, aPort);
+}
+
+auto AgentRelay::Redirect(Packet& aPacket,
+                          const RelayRoute& aRoute,
+                          const char* aCause,
+                          RelayPort& aPort) -> void
+{
+  const auto next = aPacket.tag.hops < kMaxOpeningHops
+                      ? order_.NextOpen(aRoute, aPacket.flow, init_.self)
+                      : std::nullopt;
+  log_.Write(EventLevel::Info,
+             Event("flow_redirected")
+               .With("flow", ToText(aPacket.flow))
+               .With("route", aRoute.name)
+               .With("cause", aCause)
+               .With("agent", next ? ToText(*next) : std::string("none"))
+               .With("hops", aPacket.tag.hops)
+               .With("routes", state_.Routes().version)
+               .With("targets", state_.Targets().revision)
+               .With("age_ms", state_.Digest().age.count())
+               .Text());
+  if (!next) {
+    ++counters_.resets;
+    aPort.ResetCaller(aPacket.flow, 0);
+    return;
+  }
+  ++counters_.redirected;
+  ++aPacket.tag.hops;
+  aPacket.tag.wantsHint = true;
+  aPort.ToAgent(*next, aPacket);
+}
+
+auto AgentRelay::OnLaterPacket(Packet& aPacket, RelayPort& aPort) -> void
+{
+  const auto found = flows_.find(aPacket.flow);
+  if (found == flows_.end()) {
+    Search(aPacket, aPort);
+    return;
+  }
+  auto& own = found->second;
+  if (own.phase == Phase::Opening && own.answered && aPacket.acknowledges) {
+    if (!AtOrAfter(aPacket.acknowledgement, own.backendSequence + 1) ||
+        aPacket.acknowledgement - own.backendSequence > (1U << 20)) {
+      // The caller took another backend server's answer.
+      Search(aPacket, aPort);
+      return;
+    }
+    own.phase = Phase::Open;
+  }
+  if (aPacket.tag.wantsHint) {
+    TellBalancer(aPacket, aPort);
+  }
+  Deliver(own, aPacket, aPort);
+}
+
+auto AgentRelay::Deliver(OwnFlow& aOwn, const Packet& aPacket, RelayPort& aPort)
+  -> void
+{
+  aOwn.lastPacket = clock_.Now();
+  ++counters_.delivered;
+  if (aPacket.acknowledges) {
+    aOwn.callerAcknowledged = aPacket.acknowledgement;
+  }
+  NoteCallerData(aOwn, aPacket);
+  if (aPacket.finishes || aPacket.resets) {
+    Finish(aOwn);
+  }
+  aPort.ToBackend(aPacket);
+}
+
+auto AgentRelay::Search(Packet& aPacket, RelayPort& aPort) -> void
+{
+  const auto* route = state_.FindRoute(aPacket.flow.address);
+  if (!route) {
+    return;
+  }
+  aPacket.tag.wantsHint = true;
+  if (!aPacket.tag.followedRecord) {
+    const auto record = records_.find(aPacket.flow);
+    if (record != records_.end() && record->second.agent != init_.self) {
+      ++counters_.followed;
+      ++aPacket.tag.hops;
+      aPacket.tag.followedRecord = true;
+      aPort.ToAgent(record->second.agent, aPacket);
+      return;
+    }
+  }
+  // A flow that is alive had a packet here within the idle timeout; before
+  // that much time has passed since the start, only the backend server knows.
+  const bool unsure = clock_.Now() - startedAt_ < IdleTimeout();
+  if (unsure && !aPacket.returned && !flows_.contains(aPacket.flow) &&
+      route->Allows(init_.service)) {
+    ++counters_.delivered;
+    aPort.ToBackend(aPacket);
+    return;
+  }
+  const auto limit = std::min<std::size_t>(order_.Length(*route) + 2,
+                                           kMaxSearchHops);
+  const auto next = aPacket.tag.hops < limit
+                      ? order_.Next(*route, aPacket.flow, init_.self)
+                      : std::nullopt;
+  if (!next) {
+    ++counters_.searchEnded;
+    return;
+  }
+  ++counters_.searched;
+  ++aPacket.tag.hops;
+  aPort.ToAgent(*next, aPacket);
+}
+
+auto AgentRelay::OnBackendPacket(Packet aPacket, RelayPort& aPort) -> void
+{
+  if (aPacket.returned) {
+    ++counters_.returned;
+    OnReturned(aPacket, aPort);
+    return;
+  }
+  ++counters_.toCallers;
+  aPort.ToCaller(aPacket);
+  auto [found, isNew] = flows_.try_emplace(aPacket.flow);
+  auto& own = found->second;
+  own.lastPacket = clock_.Now();
+  if (isNew) {
+    // Opened before this process started.
+    own.phase = Phase::Open;
+    Register(aPacket.flow, own);
+  }
+  if (aPacket.opens && aPacket.acknowledges) {
+    own.answered = true;
+    own.backendSequence = aPacket.sequence;
+    meter_.NoteOpened();
+    const auto opening = openings_.find(aPacket.flow);
+    if (opening != openings_.end()) {
+      if (opening->second.tag.wantsHint) {
+        aPacket.tag = opening->second.tag;
+        TellBalancer(aPacket, aPort);
+      }
+      openings_.erase(opening);
+    }
+    Register(aPacket.flow, own);
+  }
+  NoteBackendData(own, aPacket);
+  if (aPacket.finishes || aPacket.resets) {
+    Finish(own);
+  }
+}
+
+auto AgentRelay::OnReturned(Packet& aPacket, RelayPort& aPort) -> void
+{
+  const auto found = flows_.find(aPacket.flow);
+  if (aPacket.opens) {
+    openings_.erase(aPacket.flow);
+    if (found != flows_.end() && found->second.phase == Phase::Opening) {
+      flows_.erase(found);
+    }
+    meter_.NoteRefused();
+    if (const auto* route = state_.FindRoute(aPacket.flow.address)) {
+      Redirect(aPacket, *route, "refused", aPort);
+    }
+    return;
+  }
+  if (found == flows_.end() || found->second.phase == Phase::Opening) {
+    Search(aPacket, aPort);
+    return;
+  }
+  if (found->second.phase == Phase::Open) {
+    // The backend server held this flow and does not any more.
+    ResetLost(aPacket.flow,
+              found->second,
+              aPacket.acknowledgement,
+              "backend_lost_flow",
+              aPort);
+  }
+  flows_.erase(found);
+}
+
+auto AgentRelay::OnBackendDown(RelayPort& aPort) -> void
+{
+  meter_.NoteDown();
+  for (auto& [flow, own] : flows_) {
+    if (own.phase == Phase::Open) {
+      ResetLost(
+        flow, own, own.callerAcknowledged, "backend_process_gone", aPort);
+    }
+  }
+  boost::unordered::erase_if(flows_, [](const auto& aEntry) {
+    return aEntry.second.phase != Phase::Opening;
+  });
+}
+
+auto AgentRelay::ResetLost(const FlowKey& aFlow,
+                           OwnFlow& aOwn,
+                           std::uint32_t aSequence,
+                           const char* aCause,
+                           RelayPort& aPort) -> void
+{
+  ++counters_.resets;
+  log_.Write(EventLevel::Warning,
+             Event("flow_reset")
+               .With("flow", ToText(aFlow))
+               .With("cause", aCause)
+               .With("request_waiting", aOwn.busy)
+               .Text());
+  Finish(aOwn);
+  aPort.ResetCaller(aFlow, aSequence);
+}
+
+auto AgentRelay::NoteCallerData(OwnFlow& aOwn, const Packet& aPacket) -> void
+{
+  if (aPacket.payload.empty()) {
+    return;
+  }
+  const auto end =
+    aPacket.sequence + static_cast<std::uint32_t>(aPacket.payload.size());
+  if (aOwn.callerNext != 0 && AtOrAfter(aOwn.callerNext, end)) {
+    return; // sent again
+  }
+  aOwn.callerNext = end;
+  if (aOwn.busy || aOwn.phase == Phase::Finished) {
+    return;
+  }
+  ++counters_.requests;
+  aOwn.busy = true;
+  aOwn.requestBegan = clock_.Now();
+  aOwn.before = meter_.BeginRequest();
+  const auto id = reader_.RequestId(aPacket.payload);
+  log_.Write(EventLevel::Info,
+             Event("request_delivered")
+               .With("request", id.empty() ? "unknown" : id)
+               .With("flow", ToText(aPacket.flow))
+               .With("in_flight", aOwn.before)
+               .With("hops", aPacket.tag.hops)
+               .Text());
+}
+
+auto AgentRelay::NoteBackendData(OwnFlow& aOwn, const Packet& aPacket) -> void
+{
+  if (aPacket.payload.empty() || !aOwn.busy) {
+    return;
+  }
+  EndRequest(aOwn, aPacket);
+}
+
+auto AgentRelay::EndRequest(OwnFlow& aOwn, const Packet& aPacket) -> void
+{
+  const auto answer = reader_.Answer(aPacket.payload);
+  const bool failed = answer.status >= 500 || answer.notRun;
+  counters_.failures += failed ? 1 : 0;
+  aOwn.busy = false;
+  meter_.EndRequest(aOwn.requestBegan, aOwn.before, failed);
+  const auto took = clock_.Now() - aOwn.requestBegan;
+  log_.Write(
+    failed ? EventLevel::Warning : EventLevel::Info,
+    Event("request_answered")
+      .With("flow", ToText(aPacket.flow))
+      .With("status", answer.status)
+      .With("not_run", answer.notRun)
+      .With(
+        "took_us",
+        std::chrono::duration_cast<std::chrono::microseconds>(took).count())
+      .Text());
+}
+
+auto AgentRelay::Finish(OwnFlow& aOwn) -> void
+{
+  if (aOwn.busy) {
+    aOwn.busy = false;
+    meter_.AbandonRequest();
+  }
+  aOwn.phase = Phase::Finished;
+}
+
+auto AgentRelay::Register(const FlowKey& aFlow, OwnFlow& aOwn) -> void
+{
+  aOwn.registeredAt = clock_.Now();
+  const auto* route = state_.FindRoute(aFlow.address);
+  if (!route) {
+    return;
+  }
+  for (const auto& agent : order_.DirectoryAgents(*route, aFlow)) {
+    if (agent != init_.self) {
+      registrations_[agent].push_back(aFlow);
+    }
+  }
+}
+
+auto AgentRelay::OnRegistration(const FlowRegistration& aRegistration) -> void
+{
+  const auto now = clock_.Now();
+  for (const auto& flow : aRegistration.flows) {
+    if (records_.size() >= kMaxDirectoryFlows && !records_.contains(flow)) {
+      records_.erase(records_.begin());
+    }
+    records_[flow] = { aRegistration.agent, now };
+  }
+}
+
+auto AgentRelay::OnBalancer(std::uint32_t aIp) -> void
+{
+  balancers_[BalancerTag(aIp)] = aIp;
+}
+
+auto AgentRelay::TellBalancer(const Packet& aPacket, RelayPort& aPort) -> void
+{
+  const auto found = balancers_.find(aPacket.tag.balancer);
+  if (found != balancers_.end()) {
+    aPort.Tell(found->second,
+               PeerMessage{ FlowLocation{ aPacket.flow, init_.self } });
+  }
+}
+
+auto AgentRelay::OnTargetsChanged() -> void
+{
+  if (const auto* own = state_.FindAgent(init_.self)) {
+    meter_.SetSlots(own->target.slots);
+  }
+  for (auto& [flow, own] : flows_) {
+    own.registeredAt = TimePoint{};
+  }
+}
+
+auto AgentRelay::Flush(RelayPort& aPort) -> void
+{
+  for (auto& [agent, flows] : registrations_) {
+    for (std::size_t i = 0; i < flows.size(); i += kFlowsPerMessage) {
+      const auto end = std::min(flows.size(), i + kFlowsPerMessage);
+      FlowRegistration message{ init_.self, {} };
+      message.flows.assign(flows.begin() + std::ptrdiff_t(i),
+                           flows.begin() + std::ptrdiff_t(end));
+      aPort.Tell(agent.ip, PeerMessage{ std::move(message) });
+    }
+  }
+  registrations_.clear();
+}
+
+auto AgentRelay::ExpireOpenings(RelayPort& aPort) -> void
+{
+  const auto now = clock_.Now();
+  for (auto entry = openings_.begin(); entry != openings_.end();) {
+    if (now - entry->second.since < kOpeningWithin) {
+      ++entry;
+      continue;
+    }
+    meter_.NoteUnanswered();
+    auto opening = std::move(entry->second);
+    const auto flow = entry->first;
+    entry = openings_.erase(entry);
+    flows_.erase(flow);
+    Packet packet;
+    packet.flow = flow;
+    packet.opens = true;
+    packet.tag = opening.tag;
+    packet.bytes = opening.bytes;
+    if (const auto* route = state_.FindRoute(flow.address)) {
+      Redirect(packet, *route, "no_answer", aPort);
+    }
+  }
+}
+
+auto AgentRelay::Tick(RelayPort& aPort) -> void
+{
+  const auto now = clock_.Now();
+  const auto idle = IdleTimeout() + kIdleFlowSlack;
+  boost::unordered::erase_if(flows_, [this, now, idle](auto& aEntry) {
+    auto& own = aEntry.second;
+    const auto kept =
+      own.phase == Phase::Finished ? kFinishedFlowKept : idle;
+    if (now - own.lastPacket <= kept) {
+      return false;
+    }
+    Finish(own);
+    return true;
+  });
+  for (auto& [flow, own] : flows_) {
+    if (own.phase == Phase::Open && now - own.registeredAt >= kRegisterAgain) {
+      Register(flow, own);
+    }
+  }
+  boost::unordered::erase_if(records_, [now](const auto& aEntry) {
+    return now - aEntry.second.since > 3 * kRegisterAgain;
+  });
+  Flush(aPort);
+}
+
+auto AgentRelay::Report() -> BackendLoad
+{
+  BackendLoad report;
+  meter_.Fill(report);
+  report.service = init_.service;
+  report.flows = static_cast<std::uint32_t>(flows_.size());
+  const auto* own = state_.FindAgent(init_.self);
+  report.draining = own && own->standing == TargetStanding::Leaving;
+  return report;
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay/agent_relay.h
@@ -0,0 +1,150 @@
+#pragma once
+
+// The agent's part of the pass-through relay: it guards the backend server
+// beside it, knows that server's flows, and keeps records of other agents'
+// flows for balancers that do not know them.
+
+#include "core/event.h"
+#include "relay/backend_meter.h"
+#include "relay/content_reader.h"
+#include "relay/packet.h"
+#include "relay/search_order.h"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <deque>
+#include <map>
+
+namespace damaskwalk {
+
+struct AgentRelayInit
+{
+  Endpoint self; // where this agent takes packets
+  ServiceId service;
+};
+
+struct AgentCounters
+{
+  std::uint64_t delivered = 0;  // packets to the backend server
+  std::uint64_t toCallers = 0;
+  std::uint64_t redirected = 0; // first packets passed on
+  std::uint64_t followed = 0;   // later packets passed on by a record
+  std::uint64_t searched = 0;   // later packets passed on without one
+  std::uint64_t searchEnded = 0;
+  std::uint64_t returned = 0;   // packets that the backend server refused
+  std::uint64_t resets = 0;
+  std::uint64_t requests = 0;
+  std::uint64_t failures = 0;   // answers with a server error
+};
+
+// Single threaded; no sockets, all time from the clock.
+class AgentRelay
+{
+public:
+  AgentRelay(const AgentRelayInit& aInit,
+             const FleetState& aState,
+             LoadBoard& aLoad,
+             const ContentReader& aReader,
+             const Clock& aClock,
+             EventSink& aLog);
+
+  // A caller's packet from a balancer or another agent.
+  auto OnCallerPacket(Packet aPacket, RelayPort& aPort) -> void;
+  // A packet that the backend server sent or handed back.
+  auto OnBackendPacket(Packet aPacket, RelayPort& aPort) -> void;
+  // The backend server's port is closed: its process is gone.
+  auto OnBackendDown(RelayPort& aPort) -> void;
+  auto OnRegistration(const FlowRegistration& aRegistration) -> void;
+  auto OnBalancer(std::uint32_t aIp) -> void;
+  // Targets changed: records move to other directory agents.
+  auto OnTargetsChanged() -> void;
+  // Tries another agent for first packets that went without an answer. To be
+  // called every few tens of milliseconds.
+  auto ExpireOpenings(RelayPort& aPort) -> void;
+  // Sends what was collected while packets were handled.
+  auto Flush(RelayPort& aPort) -> void;
+  auto Tick(RelayPort& aPort) -> void;
+
+  auto Report() -> BackendLoad;
+  auto Flows() const -> std::size_t { return flows_.size(); }
+  auto Records() const -> std::size_t { return records_.size(); }
+  auto Counters() const -> const AgentCounters& { return counters_; }
+
+private:
+  enum class Phase : std::uint8_t
+  {
+    Opening,  // the backend server has not answered the first packet
+    Open,
+    Finished, // one end closed or reset it
+  };
+
+  struct OwnFlow
+  {
+    Phase phase = Phase::Opening;
+    bool answered = false; // the backend server accepted the first packet
+    bool busy = false;     // a request waits for its answer
+    std::uint16_t balancer = 0;
+    std::uint32_t backendSequence = 0;
+    std::uint32_t callerNext = 0; // first byte that the caller did not send yet
+    std::uint32_t callerAcknowledged = 0;
+    std::uint32_t before = 0; // requests in flight when this one began
+    TimePoint lastPacket;
+    TimePoint requestBegan;
+    TimePoint registeredAt;
+  };
+
+  struct OpeningPacket
+  {
+    std::string bytes;
+    RelayTag tag;
+    TimePoint since;
+  };
+
+  struct Record
+  {
+    Endpoint agent;
+    TimePoint since;
+  };
+
+  auto OnFirstPacket(Packet& aPacket, RelayPort& aPort) -> void;
+  auto OnLaterPacket(Packet& aPacket, RelayPort& aPort) -> void;
+  auto OnReturned(Packet& aPacket, RelayPort& aPort) -> void;
+  // Why this agent's backend server may not open the flow; null: it may.
+  auto Objection(const RelayRoute& aRoute) const -> const char*;
+  auto Redirect(Packet& aPacket,
+                const RelayRoute& aRoute,
+                const char* aCause,
+                RelayPort& aPort) -> void;
+  auto Search(Packet& aPacket, RelayPort& aPort) -> void;
+  auto Deliver(OwnFlow& aOwn, const Packet& aPacket, RelayPort& aPort) -> void;
+  auto NoteCallerData(OwnFlow& aOwn, const Packet& aPacket) -> void;
+  auto NoteBackendData(OwnFlow& aOwn, const Packet& aPacket) -> void;
+  auto EndRequest(OwnFlow& aOwn, const Packet& aPacket) -> void;
+  auto Finish(OwnFlow& aOwn) -> void;
+  auto ResetLost(const FlowKey& aFlow,
+                 OwnFlow& aOwn,
+                 std::uint32_t aSequence,
+                 const char* aCause,
+                 RelayPort& aPort) -> void;
+  auto Register(const FlowKey& aFlow, OwnFlow& aOwn) -> void;
+  auto TellBalancer(const Packet& aPacket, RelayPort& aPort) -> void;
+  auto IdleTimeout() const -> Millis;
+
+  AgentRelayInit init_;
+  const FleetState& state_;
+  LoadBoard& load_;
+  const ContentReader& reader_;
+  const Clock& clock_;
+  EventSink& log_;
+  SearchOrder order_;
+  BackendMeter meter_;
+  TimePoint startedAt_;
+  boost::unordered_flat_map<FlowKey, OwnFlow, KeyHash> flows_;
+  boost::unordered_flat_map<FlowKey, Record, KeyHash> records_;
+  std::unordered_map<FlowKey, OpeningPacket, KeyHash> openings_;
+  std::unordered_map<std::uint16_t, std::uint32_t> balancers_;
+  std::map<Endpoint, std::vector<FlowKey>> registrations_;
+  AgentCounters counters_;
+};
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay/backend_meter.cpp
@@ -0,0 +1,106 @@
+#include "relay/backend_meter.h"
+
+#include "relay/limits.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace damaskwalk {
+
+namespace {
+
+// Share of one request in the mean service time: thirty requests settle it.
+constexpr double kServiceWeight = 0.06;
+constexpr double kFailureWeight = 0.1;
+constexpr std::chrono::duration<double> kLoadWindow{ 1.0 };
+
+} // namespace
+
+BackendMeter::BackendMeter(const Clock& aClock)
+  : clock_(aClock)
+  , integratedAt_(aClock.Now())
+  , unfitUntil_(aClock.Now())
+{
+}
+
+auto BackendMeter::Integrate() -> void
+{
+  const auto now = clock_.Now();
+  const std::chrono::duration<double> span = now - integratedAt_;
+  const double kept = std::exp(-span / kLoadWindow);
+  meanInFlight_ = meanInFlight_ * kept + inFlight_ * (1.0 - kept);
+  integratedAt_ = now;
+}
+
+auto BackendMeter::BeginRequest() -> std::uint32_t
+{
+  Integrate();
+  return inFlight_++;
+}
+
+auto BackendMeter::EndRequest(TimePoint aBegan,
+                              std::uint32_t aBefore,
+                              bool aFailed) -> void
+{
+  AbandonRequest();
+  failureShare_ += kFailureWeight * ((aFailed ? 1.0 : 0.0) - failureShare_);
+  if (aFailed) {
+    return;
+  }
+  // Requests ahead share the slots: their wait is no service time.
+  const std::chrono::duration<double, std::micro> took = clock_.Now() - aBegan;
+  const double crowd = std::max(1.0, (aBefore + 1.0) / slots_);
+  const double sample = took.count() / crowd;
+  serviceMicros_ = serviceMicros_ == 0
+                     ? sample
+                     : serviceMicros_ +
+                         kServiceWeight * (sample - serviceMicros_);
+}
+
+auto BackendMeter::AbandonRequest() -> void
+{
+  Integrate();
+  inFlight_ -= inFlight_ > 0 ? 1 : 0;
+}
+
+auto BackendMeter::NoteOpened() -> void
+{
+  unanswered_ = 0;
+  unfitUntil_ = clock_.Now();
+}
+
+auto BackendMeter::NoteRefused() -> void
+{
+  unfitUntil_ = std::max(unfitUntil_, clock_.Now() + kRefusedFor);
+}
+
+auto BackendMeter::NoteUnanswered() -> void
+{
+  if (++unanswered_ >= kUnresponsiveAfter) {
+    NoteDown();
+  }
+}
+
+auto BackendMeter::NoteDown() -> void
+{
+  unfitUntil_ = clock_.Now() + kUnresponsiveFor;
+}
+
+auto BackendMeter::IsFit() const -> bool
+{
+  return clock_.Now() >= unfitUntil_;
+}
+
+auto BackendMeter::Fill(BackendLoad& aReport) -> void
+{
+  Integrate();
+  aReport.fit = IsFit();
+  aReport.slots = slots_;
+  aReport.inFlight = inFlight_;
+  aReport.meanInFlightHundredths =
+    static_cast<std::uint32_t>(meanInFlight_ * 100.0);
+  aReport.serviceMicros = static_cast<std::uint32_t>(serviceMicros_);
+  aReport.failurePerMille = static_cast<std::uint32_t>(failureShare_ * 1000.0);
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay/backend_meter.h
@@ -0,0 +1,52 @@
+#pragma once
+
+// Load, speed and health of one backend server, from the packets that pass.
+
+#include "core/clock.h"
+#include "relay/peer_messages.h"
+
+namespace damaskwalk {
+
+// Single threaded.
+class BackendMeter
+{
+public:
+  explicit BackendMeter(const Clock& aClock);
+
+  auto SetSlots(std::uint32_t aSlots) -> void { slots_ = aSlots; }
+
+  // @return the requests in flight before this one.
+  auto BeginRequest() -> std::uint32_t;
+  // @param aBefore what BeginRequest returned.
+  auto EndRequest(TimePoint aBegan, std::uint32_t aBefore, bool aFailed)
+    -> void;
+  // The flow ended before the answer came.
+  auto AbandonRequest() -> void;
+
+  // A first packet was answered, refused, or went without an answer.
+  auto NoteOpened() -> void;
+  auto NoteRefused() -> void;
+  auto NoteUnanswered() -> void;
+  // The backend server's process is gone; until it opens a flow again.
+  auto NoteDown() -> void;
+
+  // New flows may be opened here.
+  auto IsFit() const -> bool;
+  auto InFlight() const -> std::uint32_t { return inFlight_; }
+  auto Fill(BackendLoad& aReport) -> void;
+
+private:
+  auto Integrate() -> void;
+
+  const Clock& clock_;
+  std::uint32_t slots_ = 1;
+  std::uint32_t inFlight_ = 0;
+  double meanInFlight_ = 0;
+  TimePoint integratedAt_;
+  double serviceMicros_ = 0; // 0: none measured
+  double failureShare_ = 0;
+  std::uint32_t unanswered_ = 0;
+  TimePoint unfitUntil_;
+};
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay/balancer_relay.cpp
@@ -0,0 +1,149 @@
+#include "relay/balancer_relay.h"
+
+#include "relay/limits.h"
+
+namespace damaskwalk {
+
+BalancerRelay::BalancerRelay(std::uint32_t aIp,
+                             const FleetState& aState,
+                             LoadBoard& aLoad,
+                             FirstPacketPlacement& aPlacement,
+                             const Clock& aClock,
+                             EventSink& aLog)
+  : tag_(BalancerTag(aIp))
+  , state_(aState)
+  , load_(aLoad)
+  , placement_(aPlacement)
+  , order_(aState, aLoad)
+  , clock_(aClock)
+  , log_(aLog)
+{
+}
+
+auto BalancerRelay::OnCallerPacket(Packet aPacket, RelayPort& aPort) -> void
+{
+  ++counters_.packets;
+  const auto* route = state_.FindRoute(aPacket.flow.address);
+  if (!route) {
+    ++counters_.noRoute;
+    if (aPacket.opens) {
+      Refuse(aPacket, "no_route", aPort);
+    }
+    return;
+  }
+  aPacket.tag = { tag_, 0, false };
+  if (aPacket.opens) {
+    PlaceFirst(*route, aPacket, aPort);
+  } else {
+    PassLater(*route, aPacket, aPort);
+  }
+}
+
+auto BalancerRelay::PlaceFirst(const RelayRoute& aRoute,
+                               Packet& aPacket,
+                               RelayPort& aPort) -> void
+{
+  const auto found = flows_.find(aPacket.flow);
+  Endpoint excluded;
+  if (found != flows_.end()) {
+    const auto known = found->second.agent;
+    if (!load_.IsSilent(known.ip)) {
+      found->second.lastPacket = clock_.Now();
+      ++counters_.direct;
+      aPort.ToAgent(known, aPacket);
+      return;
+    }
+    excluded = known;
+    ++counters_.placedAgain;
+  }
+  const auto service = aRoute.ServiceOf(aPacket.flow);
+  const auto choice = placement_.Choose(service, aPacket.flow, excluded);
+  if (!choice.agent.IsValid()) {
+    Refuse(aPacket, choice.cause, aPort);
+    return;
+  }
+  ++counters_.placed;
+  load_.NotePlaced(choice.agent.ip);
+  Remember(aPacket.flow, choice.agent);
+  log_.Write(EventLevel::Info,
+             Event("flow_placed")
+               .With("flow", ToText(aPacket.flow))
+               .With("route", aRoute.name)
+               .With("agent", ToText(choice.agent))
+               .With("cause", choice.cause)
+               .With("expected_us", choice.expected.count())
+               .With("copy", excluded.IsValid())
+               .With("routes", state_.Routes().version)
+               .With("targets", state_.Targets().revision)
+               .With("age_ms", state_.Digest().age.count())
+               .Text());
+  aPort.ToAgent(choice.agent, aPacket);
+}
+
+auto BalancerRelay::PassLater(const RelayRoute& aRoute,
+                              Packet& aPacket,
+                              RelayPort& aPort) -> void
+{
+  const auto found = flows_.find(aPacket.flow);
+  if (found != flows_.end()) {
+    ++counters_.direct;
+    found->second.lastPacket = clock_.Now();
+    found->second.finished |= aPacket.finishes || aPacket.resets;
+    aPort.ToAgent(found->second.agent, aPacket);
+    return;
+  }
+  const auto agents = order_.DirectoryAgents(aRoute, aPacket.flow);
+  if (agents.empty()) {
+    ++counters_.noAgent;
+    return;
+  }
+  ++counters_.searched;
+  aPacket.tag.wantsHint = true;
+  aPort.ToAgent(agents.front(), aPacket);
+}
+
+auto BalancerRelay::Refuse(const Packet& aPacket,
+                           const char* aCause,
+                           RelayPort& aPort) -> void
+{
+  ++counters_.resets;
+  log_.Write(EventLevel::Warning,
+             Event("flow_refused")
+               .With("flow", ToText(aPacket.flow))
+               .With("cause", aCause)
+               .With("routes", state_.Routes().version)
+               .With("targets", state_.Targets().revision)
+               .With("age_ms", state_.Digest().age.count())
+               .Text());
+  aPort.ResetCaller(aPacket.flow, 0);
+}
+
+auto BalancerRelay::Remember(const FlowKey& aFlow, const Endpoint& aAgent)
+  -> void
+{
+  if (flows_.size() >= kMaxBalancerFlows && !flows_.contains(aFlow)) {
+    // Any other entry: agents tell again where its flow is.
+    flows_.erase(flows_.begin());
+  }
+  flows_[aFlow] = { aAgent, clock_.Now(), false };
+}
+
+auto BalancerRelay::OnFlowLocation(const FlowLocation& aLocation) -> void
+{
+  ++counters_.located;
+  Remember(aLocation.flow, aLocation.agent);
+}
+
+auto BalancerRelay::Tick() -> void
+{
+  const auto now = clock_.Now();
+  const auto timeout = state_.Routes().idleTimeout;
+  const auto idle =
+    (timeout.count() > 0 ? timeout : kDefaultIdleTimeout) + kIdleFlowSlack;
+  boost::unordered::erase_if(flows_, [now, idle](const auto& aEntry) {
+    const auto kept = aEntry.second.finished ? kFinishedFlowKept : idle;
+    return now - aEntry.second.lastPacket > kept;
+  });
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay/balancer_relay.h
@@ -0,0 +1,75 @@
+#pragma once
+
+// The balancer's part of the pass-through relay: which agent each packet from
+// a caller goes to.
+
+#include "core/event.h"
+#include "relay/packet.h"
+#include "relay/peer_messages.h"
+#include "relay/placement.h"
+#include "relay/search_order.h"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+namespace damaskwalk {
+
+struct BalancerCounters
+{
+  std::uint64_t packets = 0;
+  std::uint64_t placed = 0;     // first packets
+  std::uint64_t placedAgain = 0; // copies sent to another agent
+  std::uint64_t direct = 0;     // later packets of a known flow
+  std::uint64_t searched = 0;   // later packets sent to a directory agent
+  std::uint64_t located = 0;    // flows learnt from agents
+  std::uint64_t resets = 0;
+  std::uint64_t noRoute = 0;
+  std::uint64_t noAgent = 0;
+};
+
+// Single threaded; no sockets, all time from the clock.
+class BalancerRelay
+{
+public:
+  BalancerRelay(std::uint32_t aIp,
+                const FleetState& aState,
+                LoadBoard& aLoad,
+                FirstPacketPlacement& aPlacement,
+                const Clock& aClock,
+                EventSink& aLog);
+
+  auto OnCallerPacket(Packet aPacket, RelayPort& aPort) -> void;
+  auto OnFlowLocation(const FlowLocation& aLocation) -> void;
+  // Drops entries of flows that are over.
+  auto Tick() -> void;
+
+  auto Flows() const -> std::size_t { return flows_.size(); }
+  auto Counters() const -> const BalancerCounters& { return counters_; }
+
+private:
+  struct Entry
+  {
+    Endpoint agent;
+    TimePoint lastPacket;
+    bool finished = false;
+  };
+
+  auto PlaceFirst(const RelayRoute& aRoute, Packet& aPacket, RelayPort& aPort)
+    -> void;
+  auto PassLater(const RelayRoute& aRoute, Packet& aPacket, RelayPort& aPort)
+    -> void;
+  auto Refuse(const Packet& aPacket, const char* aCause, RelayPort& aPort)
+    -> void;
+  auto Remember(const FlowKey& aFlow, const Endpoint& aAgent) -> void;
+
+  std::uint16_t tag_;
+  const FleetState& state_;
+  LoadBoard& load_;
+  FirstPacketPlacement& placement_;
+  SearchOrder order_;
+  const Clock& clock_;
+  EventSink& log_;
+  boost::unordered_flat_map<FlowKey, Entry, KeyHash> flows_;
+  BalancerCounters counters_;
+};
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay/fleet_state.cpp
@@ -0,0 +1,238 @@
+#include "relay/fleet_state.h"
+
+#include "relay/limits.h"
+
+#include <algorithm>
+
+namespace damaskwalk {
+
+auto RelayRoute::Allows(ServiceId aService) const -> bool
+{
+  return std::ranges::any_of(services, [aService](const auto& aEntry) {
+    return aEntry.service == aService;
+  });
+}
+
+auto RelayRoute::ServiceOf(const FlowKey& aFlow) const -> ServiceId
+{
+  std::uint64_t total = 0;
+  for (const auto& entry : services) {
+    total += entry.weight;
+  }
+  if (total == 0) {
+    return services.empty() ? ServiceId{} : services.front().service;
+  }
+  auto point = Mix(HashOf(aFlow), 11) % total;
+  for (const auto& entry : services) {
+    if (point < entry.weight) {
+      return entry.service;
+    }
+    point -= entry.weight;
+  }
+  return services.back().service;
+}
+
+auto RelayTarget::SameAs(const RelayTarget& aOther) const -> bool
+{
+  return id == aOther.id && service == aOther.service &&
+         agent == aOther.agent && failureDomain == aOther.failureDomain &&
+         slots == aOther.slots && state == aOther.state &&
+         bornMillis == aOther.bornMillis;
+}
+
+auto TargetSet::Hash() const -> std::uint64_t
+{
+  std::uint64_t sum = 1;
+  for (const auto& target : targets) {
+    auto hash = Mix(HashText(target.id), target.service.value);
+    hash = Mix(hash, HashOf(target.agent));
+    hash = Mix(hash, HashText(target.failureDomain));
+    hash = Mix(hash, (std::uint64_t{ target.slots } << 8) |
+                       static_cast<std::uint64_t>(target.state));
+    sum += Mix(hash, static_cast<std::uint64_t>(target.bornMillis));
+  }
+  return sum;
+}
+
+auto ToText(TargetStanding aStanding) -> const char*
+{
+  switch (aStanding) {
+    case TargetStanding::Open:
+      return "open";
+    case TargetStanding::Vanished:
+      return "vanished";
+    case TargetStanding::Leaving:
+      return "leaving";
+    default:
+      return "gone";
+  }
+}
+
+FleetState::FleetState(const Clock& aClock)
+  : clock_(aClock)
+{
+}
+
+auto FleetState::OfferRoutes(RouteTable aTable) -> bool
+{
+  if (hasRoutes_ && aTable.version <= routes_.version) {
+    return false;
+  }
+  routes_ = std::move(aTable);
+  hasRoutes_ = true;
+  byAddress_.clear();
+  for (std::size_t i = 0; i < routes_.routes.size(); ++i) {
+    byAddress_[routes_.routes[i].address] = i;
+  }
+  return true;
+}
+
+auto FleetState::OfferTargets(const TargetSet& aSet, Millis aReadAge) -> bool
+{
+  const auto now = clock_.Now();
+  const auto readAt = now - aReadAge;
+  if (hasTargets_ && aSet.revision < targets_.revision) {
+    return false;
+  }
+  confirmed_ = hasTargets_ ? std::max(confirmed_, readAt) : readAt;
+  const bool first = !hasTargets_;
+  hasTargets_ = true;
+  std::unordered_map<std::string, const RelayTarget*> fresh;
+  for (const auto& target : aSet.targets) {
+    fresh[target.id] = &target;
+  }
+  bool changed = first;
+  for (auto& known : known_) {
+    const auto found = fresh.find(known.target.id);
+    if (found == fresh.end()) {
+      if (known.standing == TargetStanding::Open) {
+        known.standing = TargetStanding::Vanished;
+        known.since = now;
+        changed = true;
+      } else if (known.standing == TargetStanding::Leaving) {
+        known.standing = TargetStanding::Gone;
+        known.since = now;
+        changed = true;
+      }
+      continue;
+    }
+    const auto& target = *found->second;
+    const auto standing = target.state == TargetState::Ready
+                            ? TargetStanding::Open
+                            : TargetStanding::Leaving;
+    if (!known.target.SameAs(target) || known.standing != standing) {
+      known = { target, standing, now, readAt + target.coldFor };
+      changed = true;
+    }
+    fresh.erase(found);
+  }
+  for (const auto& [id, target] : fresh) {
+    const auto standing = target->state == TargetState::Ready
+                            ? TargetStanding::Open
+                            : TargetStanding::Leaving;
+    known_.push_back({ *target, standing, now, readAt + target->coldFor });
+    changed = true;
+  }
+  targets_.revision = aSet.revision;
+  if (changed) {
+    targets_.targets = aSet.targets;
+    targetsHash_ = aSet.Hash();
+    Rebuild();
+  }
+  return changed;
+}
+
+auto FleetState::Confirm(const StateDigest& aDigest) -> void
+{
+  if (hasTargets_ && aDigest.targetsHash == targetsHash_) {
+    targets_.revision = std::max(targets_.revision, aDigest.targets);
+    confirmed_ = std::max(confirmed_, clock_.Now() - aDigest.age);
+  }
+}
+
+auto FleetState::Tick() -> bool
+{
+  const auto now = clock_.Now();
+  bool changed = false;
+  for (auto& known : known_) {
+    if (known.standing == TargetStanding::Vanished &&
+        now - known.since >= kLapseGrace) {
+      known.standing = TargetStanding::Gone;
+      known.since = now;
+      changed = true;
+    }
+  }
+  const auto forgotten = std::erase_if(known_, [now](const auto& aKnown) {
+    return aKnown.standing == TargetStanding::Gone &&
+           now - aKnown.since >= kGoneTargetKept;
+  });
+  if (forgotten > 0) {
+    Rebuild();
+  }
+  return changed || forgotten > 0;
+}
+
+auto FleetState::Digest() const -> StateDigest
+{
+  return { routes_.version,
+           targets_.revision,
+           targetsHash_,
+           Age().value_or(Millis{ std::chrono::hours{ 24 } }) };
+}
+
+auto FleetState::Age() const -> std::optional<Millis>
+{
+  if (!hasTargets_) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<Millis>(clock_.Now() - confirmed_);
+}
+
+auto FleetState::FindRoute(const Endpoint& aAddress) const -> const RelayRoute*
+{
+  const auto found = byAddress_.find(aAddress);
+  return found == byAddress_.end() ? nullptr : &routes_.routes[found->second];
+}
+
+auto FleetState::FindAgent(const Endpoint& aAgent) const -> const KnownTarget*
+{
+  const auto found = byAgent_.find(aAgent);
+  return found == byAgent_.end() ? nullptr : &known_[found->second];
+}
+
+auto FleetState::FindId(const std::string& aId) const -> const KnownTarget*
+{
+  const auto found = std::ranges::find_if(
+    known_, [&aId](const auto& aKnown) { return aKnown.target.id == aId; });
+  return found == known_.end() ? nullptr : &*found;
+}
+
+auto FleetState::OfService(ServiceId aService) const
+  -> const std::vector<std::size_t>&
+{
+  static const std::vector<std::size_t> kNone;
+  const auto found = byService_.find(aService);
+  return found == byService_.end() ? kNone : found->second;
+}
+
+auto FleetState::Rebuild() -> void
+{
+  // Where an address was registered more than once, the best standing counts
+  // and then the later start.
+  std::ranges::stable_sort(known_, [](const auto& aLeft, const auto& aRight) {
+    if (aLeft.standing != aRight.standing) {
+      return aLeft.standing < aRight.standing;
+    }
+    return aLeft.target.bornMillis > aRight.target.bornMillis;
+  });
+  byAgent_.clear();
+  byService_.clear();
+  for (std::size_t i = 0; i < known_.size(); ++i) {
+    const auto& target = known_[i].target;
+    if (byAgent_.try_emplace(target.agent, i).second) {
+      byService_[target.service].push_back(i);
+    }
+  }
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay/limits.h
@@ -0,0 +1,89 @@
+#pragma once
+
+// Limits and periods of the pass-through relay. Each names its reason; the
+// platform's promises that they follow from are in docs/PLATFORM.md.
+
+#include "core/clock.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace damaskwalk {
+
+// A lapsed registration is back this soon after the store's return.
+constexpr Millis kLapseGrace{ 2000 };
+// A backend server that left may hold flows for as long as it drains.
+constexpr Millis kGoneTargetKept{ 40000 };
+
+// Heartbeats between relays, stretched so that one node sends at most 100 a
+// second.
+constexpr Millis kRelayHeartbeat{ 500 };
+constexpr Millis kRelayHeartbeatSpacing{ 10 };
+// A peer is silent after three missed heartbeats.
+constexpr std::uint32_t kSilentHeartbeats = 3;
+// A load report answers a first packet at most this often per balancer.
+constexpr Millis kLoadReportSpacing{ 30 };
+// An agent that left a first packet without a report for this long is silent.
+constexpr Millis kReportWithin{ 180 };
+
+// The first reader asks the store this often: a change is known everywhere
+// well within the three seconds allowed.
+constexpr Millis kStoreReadPeriod{ 400 };
+// Another process reads when nobody confirmed the state for this long, later
+// the lower its rank.
+constexpr Millis kStoreTakeover{ 900 };
+constexpr Millis kStoreTakeoverStep{ 120 };
+constexpr std::uint32_t kStoreTakeoverSteps = 10;
+// After a failed read the process waits this long: refused calls count too.
+constexpr Millis kStoreRetry{ 800 };
+// Routes change less often than targets: every second read asks for them.
+constexpr std::uint32_t kReadsPerRouteRead = 2;
+
+// Flow tables. A balancer entry costs about 40 bytes, an agent's about 100.
+constexpr std::size_t kMaxBalancerFlows = 1U << 18;
+constexpr std::size_t kMaxAgentFlows = 1U << 16;
+constexpr std::size_t kMaxDirectoryFlows = 1U << 17;
+// Entries of a finished flow stay for late retransmissions (1.6 s at most).
+constexpr Millis kFinishedFlowKept{ 4000 };
+// Added to the configured idle timeout before an entry is dropped.
+constexpr Millis kIdleFlowSlack{ 2000 };
+// Idle timeout until a configuration states one.
+constexpr Millis kDefaultIdleTimeout{ 15000 };
+// Agents register long flows anew this often, so that a restarted directory
+// agent knows them again.
+constexpr Millis kRegisterAgain{ 4000 };
+// Flows of one registration message: stays below 1,400 bytes.
+constexpr std::size_t kFlowsPerMessage = 100;
+
+// A backend server answers a first packet within about a millisecond; after
+// this it is taken as not responding and another one is tried.
+constexpr Millis kOpeningWithin{ 60 };
+// Agents that a first packet may visit.
+constexpr std::uint8_t kMaxOpeningHops = 6;
+// Agents that a later packet may visit while its flow is looked for.
+constexpr std::uint8_t kMaxSearchHops = 120;
+// A backend server that let first packets go unanswered is tried again after.
+constexpr Millis kUnresponsiveFor{ 500 };
+// A backend server that refused a first packet gets none for this long.
+constexpr Millis kRefusedFor{ 100 };
+// First packets without an answer before the backend server counts as down.
+constexpr std::uint32_t kUnresponsiveAfter = 2;
+
+// Packets held while a starting process has no state yet.
+constexpr std::size_t kMaxWaitingPackets = 512;
+// Older held packets have been sent again by their end.
+constexpr Millis kWaitingPacketKept{ 1000 };
+
+// Placement. Crossing failure domains costs a round trip and bytes; a farther
+// backend server must save at least this much.
+constexpr std::chrono::microseconds kDomainCrossing{ 8000 };
+// Assumed service time until requests were measured.
+constexpr std::chrono::microseconds kDefaultServiceTime{ 30000 };
+// Slowdown of a backend server that is still cold.
+constexpr double kColdFactor = 1.6;
+// Candidates looked at in the own failure domain and beyond: two choices take
+// most of the gain of knowing all, three cover small domains whole.
+constexpr std::size_t kNearChoices = 3;
+constexpr std::size_t kFarChoices = 2;
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay/load_board.h
@@ -0,0 +1,59 @@
+#pragma once
+
+// Heartbeats of other relays: who runs, and what load agents reported.
+
+#include "core/clock.h"
+#include "relay/peer_messages.h"
+
+#include <unordered_map>
+
+namespace damaskwalk {
+
+struct PeerView
+{
+  RelayRole role = RelayRole::Balancer;
+  std::uint64_t incarnation = 0;
+  StateDigest digest;
+  TimePoint heardAt;
+  bool hasLoad = false;
+  BackendLoad load;
+  TimePoint loadAt;
+  // First packets sent there since its load was reported, and the time of the
+  // first of them.
+  std::uint32_t placedSince = 0;
+  TimePoint unansweredSince;
+};
+
+// Single threaded.
+class LoadBoard
+{
+public:
+  explicit LoadBoard(const Clock& aClock);
+
+  // @return true when the peer is new or was started anew.
+  auto Hear(std::uint32_t aIp, const RelayHeartbeat& aHeartbeat) -> bool;
+  auto NotePlaced(std::uint32_t aIp) -> void;
+  auto Find(std::uint32_t aIp) const -> const PeerView*;
+  // Heard once, and silent since for several heartbeats, or did not report its
+  // load after a first packet, as agents do at once.
+  auto IsSilent(std::uint32_t aIp) const -> bool;
+  // Sets how often peers send, as both sides derive it from the fleet's size.
+  auto SetHeartbeatPeriod(Millis aPeriod) -> void { period_ = aPeriod; }
+  auto HeartbeatPeriod() const -> Millis { return period_; }
+  // Forgets peers that have been silent for a minute.
+  auto Tick() -> void;
+  auto Peers() const -> const std::unordered_map<std::uint32_t, PeerView>&
+  {
+    return peers_;
+  }
+  // Mean service time over the agents that reported one; the default when none
+  // did.
+  auto MeanServiceTime(ServiceId aService) const -> std::chrono::microseconds;
+
+private:
+  const Clock& clock_;
+  Millis period_;
+  std::unordered_map<std::uint32_t, PeerView> peers_;
+};
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay/peer_messages.cpp
@@ -0,0 +1,267 @@
+#include "relay/peer_messages.h"
+
+#include "wire/codec.h"
+
+#include <istream>
+#include <ostream>
+
+namespace damaskwalk {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+// First byte of every message; raised when the layout changes.
+constexpr std::uint8_t kLayout = 1;
+constexpr std::size_t kMaxFlowsPerMessage = 256;
+constexpr std::size_t kMaxRoutes = 65536;
+constexpr std::size_t kMaxTargets = 65536;
+constexpr std::size_t kMaxServicesPerRoute = 64;
+
+} // namespace
+
+template<class Archive>
+auto serialize(Archive& aArchive, Millis& aValue) -> void
+{
+  std::int64_t count = aValue.count();
+  aArchive(count);
+  aValue = Millis{ count };
+}
+
+template<class Archive>
+auto serialize(Archive& aArchive, StateDigest& aValue) -> void
+{
+  aArchive(aValue.routes, aValue.targets, aValue.targetsHash);
+  serialize(aArchive, aValue.age);
+}
+
+template<class Archive>
+auto serialize(Archive& aArchive, BackendLoad& aValue) -> void
+{
+  aArchive(aValue.service,
+           aValue.fit,
+           aValue.draining,
+           aValue.slots,
+           aValue.inFlight,
+           aValue.meanInFlightHundredths,
+           aValue.flows,
+           aValue.serviceMicros,
+           aValue.failurePerMille);
+}
+
+template<class Archive>
+auto serialize(Archive& aArchive, RelayHeartbeat& aValue) -> void
+{
+  auto load = Bounded<1>(aValue.load);
+  aArchive(aValue.role,
+           aValue.incarnation,
+           aValue.digest,
+           aValue.wantsReply,
+           load);
+}
+
+template<class Archive>
+auto serialize(Archive& aArchive, FlowLocation& aValue) -> void
+{
+  aArchive(aValue.flow, aValue.agent);
+}
+
+template<class Archive>
+auto serialize(Archive& aArchive, FlowRegistration& aValue) -> void
+{
+  auto flows = Bounded<kMaxFlowsPerMessage>(aValue.flows);
+  aArchive(aValue.agent, flows);
+}
+
+template<class Archive>
+auto serialize(Archive& aArchive, WeightedService& aValue) -> void
+{
+  aArchive(aValue.service, aValue.weight);
+}
+
+template<class Archive>
+auto serialize(Archive& aArchive, RelayRoute& aValue) -> void
+{
+  auto name = Bounded<kMaxNameBytes>(aValue.name);
+  auto services = Bounded<kMaxServicesPerRoute>(aValue.services);
+  aArchive(name, aValue.address, aValue.kind);
+  serialize(aArchive, aValue.timeout);
+  serialize(aArchive, aValue.latencyObjective);
+  aArchive(aValue.priority, services);
+}
+
+template<class Archive>
+auto serialize(Archive& aArchive, RouteTable& aValue) -> void
+{
+  auto routes = Bounded<kMaxRoutes>(aValue.routes);
+  aArchive(aValue.version);
+  serialize(aArchive, aValue.idleTimeout);
+  aArchive(routes);
+}
+
+template<class Archive>
+auto serialize(Archive& aArchive, RelayTarget& aValue) -> void
+{
+  auto id = Bounded<kMaxNameBytes>(aValue.id);
+  auto domain = Bounded<kMaxNameBytes>(aValue.failureDomain);
+  aArchive(id,
+           aValue.service,
+           aValue.agent,
+           domain,
+           aValue.slots,
+           aValue.state,
+           aValue.bornMillis);
+  serialize(aArchive, aValue.coldFor);
+}
+
+template<class Archive>
+auto serialize(Archive& aArchive, TargetSet& aValue) -> void
+{
+  auto targets = Bounded<kMaxTargets>(aValue.targets);
+  aArchive(aValue.revision, targets);
+}
+
+template<class Archive>
+auto serialize(Archive& aArchive, StateRequest& aValue) -> void
+{
+  aArchive(aValue.have);
+}
+
+template<class Archive>
+auto serialize(Archive& aArchive, StateReply& aValue) -> void
+{
+  auto routes = Bounded<1>(aValue.routes);
+  auto targets = Bounded<1>(aValue.targets);
+  aArchive(aValue.digest, routes, targets);
+}
+
+namespace {
+
+template<class... Parts>
+auto Encode(const Parts&... aParts) -> std::string
+{
+  std::string bytes;
+  StringBuffer buffer(bytes);
+  std::ostream stream(&buffer);
+  OutArchive archive(stream);
+  archive(kLayout);
+  (archive(const_cast<Parts&>(aParts)), ...);
+  return bytes;
+}
+
+template<class Body>
+auto Decode(std::string_view aBytes, Body aBody) -> leaf::result<void>
+{
+  MemoryBuffer buffer(aBytes.data(), aBytes.size());
+  std::istream stream(&buffer);
+  try {
+    InArchive archive(stream);
+    std::uint8_t layout = 0;
+    archive(layout);
+    if (layout != kLayout) {
+      return leaf::new_error(WireError::UnknownVersion);
+    }
+    if (!aBody(archive)) {
+      return leaf::new_error(WireError::UnknownKind);
+    }
+  } catch (const std::exception&) {
+    return leaf::new_error(WireError::Truncated);
+  }
+  if (buffer.Remaining() != 0) {
+    return leaf::new_error(WireError::Garbage);
+  }
+  return {};
+}
+
+// Values outside an enumeration are taken as garbage.
+auto IsSound(const StateReply& aReply) -> bool
+{
+  for (const auto& table : aReply.routes) {
+    for (const auto& route : table.routes) {
+      if (route.kind > RouteKind::Download) {
+        return false;
+      }
+    }
+  }
+  for (const auto& set : aReply.targets) {
+    for (const auto& target : set.targets) {
+      if (target.state > TargetState::Draining) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+auto EncodePeerMessage(const PeerMessage& aMessage) -> std::string
+{
+  const auto kind = static_cast<std::uint8_t>(aMessage.body.index());
+  return std::visit(
+    [kind](const auto& aBody) { return Encode(kind, aBody); }, aMessage.body);
+}
+
+auto DecodePeerMessage(std::string_view aBytes) -> leaf::result<PeerMessage>
+{
+  PeerMessage message;
+  BOOST_LEAF_CHECK(Decode(aBytes, [&message](InArchive& aArchive) {
+    std::uint8_t kind = 0;
+    aArchive(kind);
+    switch (kind) {
+      case 0: {
+        RelayHeartbeat heartbeat;
+        aArchive(heartbeat);
+        message.body = std::move(heartbeat);
+        return std::get<RelayHeartbeat>(message.body).role <= RelayRole::Agent;
+      }
+      case 1: {
+        FlowLocation location;
+        aArchive(location);
+        message.body = location;
+        return true;
+      }
+      case 2: {
+        FlowRegistration registration;
+        aArchive(registration);
+        message.body = std::move(registration);
+        return true;
+      }
+      default:
+        return false;
+    }
+  }));
+  return message;
+}
+
+auto EncodeStateRequest(const StateRequest& aRequest) -> std::string
+{
+  return Encode(aRequest);
+}
+
+auto DecodeStateRequest(std::string_view aBytes) -> leaf::result<StateRequest>
+{
+  StateRequest request;
+  BOOST_LEAF_CHECK(Decode(aBytes, [&request](InArchive& aArchive) {
+    aArchive(request);
+    return true;
+  }));
+  return request;
+}
+
+auto EncodeStateReply(const StateReply& aReply) -> std::string
+{
+  return Encode(aReply);
+}
+
+auto DecodeStateReply(std::string_view aBytes) -> leaf::result<StateReply>
+{
+  StateReply reply;
+  BOOST_LEAF_CHECK(Decode(aBytes, [&reply](InArchive& aArchive) {
+    aArchive(reply);
+    return IsSound(reply);
+  }));
+  return reply;
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay/placement.h
@@ -0,0 +1,56 @@
+#pragma once
+
+// Which agent gets the first packet of a flow.
+
+#include "relay/fleet_state.h"
+#include "relay/load_board.h"
+
+#include <memory>
+#include <random>
+
+namespace damaskwalk {
+
+struct PlacementInit
+{
+  std::string failureDomain; // of the placing process
+  std::uint64_t seed = 1;
+};
+
+struct PlacementChoice
+{
+  Endpoint agent; // invalid: no target may take the flow
+  std::chrono::microseconds expected{ 0 };
+  const char* cause = "no_target";
+};
+
+// A policy. Single threaded.
+class FirstPacketPlacement
+{
+public:
+  virtual ~FirstPacketPlacement() = default;
+  // @param aExcluded an agent that shall not be chosen; invalid: none.
+  virtual auto Choose(ServiceId aService,
+                      const FlowKey& aFlow,
+                      const Endpoint& aExcluded) -> PlacementChoice = 0;
+};
+
+// Least expected time to the answer, from reported load, over a few random
+// candidates near and far.
+auto MakePlacementExpectedWait(const PlacementInit& aInit,
+                               const FleetState& aState,
+                               const LoadBoard& aLoad,
+                               const Clock& aClock)
+  -> std::unique_ptr<FirstPacketPlacement>;
+
+// Rendezvous over the ready targets: needs no load, used as a baseline.
+auto MakePlacementRendezvous(const FleetState& aState)
+  -> std::unique_ptr<FirstPacketPlacement>;
+
+// Expected time from a first packet to the first byte of the answer.
+// @param aPlaced first packets sent there since the report.
+auto ExpectedAnswerTime(const BackendLoad& aLoad,
+                        std::uint32_t aPlaced,
+                        std::chrono::microseconds aServiceTime)
+  -> std::chrono::microseconds;
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay/placement_expected_wait.cpp
@@ -0,0 +1,179 @@
+#include "relay/limits.h"
+#include "relay/placement.h"
+
+#include <algorithm>
+
+namespace damaskwalk {
+
+using std::chrono::microseconds;
+
+auto ExpectedAnswerTime(const BackendLoad& aLoad,
+                        std::uint32_t aPlaced,
+                        microseconds aServiceTime) -> microseconds
+{
+  const auto slots = std::max<std::uint32_t>(aLoad.slots, 1);
+  const double recent = aLoad.meanInFlightHundredths / 100.0;
+  const double waiting =
+    std::max<double>(aLoad.inFlight, recent) + aPlaced + 1.0;
+  // Slots are shared: below capacity a busier server still queues more often.
+  const double queueing = std::max(1.0, waiting / slots);
+  const double crowding = 0.3 * std::min(1.0, waiting / slots);
+  const double failing = 1.0 + 8.0 * aLoad.failurePerMille / 1000.0;
+  return microseconds{ static_cast<std::int64_t>(
+    double(aServiceTime.count()) * (queueing + crowding) * failing) };
+}
+
+namespace {
+
+// How willingly a target is taken; a lower class is never preferred over a
+// higher one by its load.
+enum class Preference : std::uint8_t
+{
+  Fit,      // registered, heard, answering
+  Doubtful, // silent agent, lapsed registration, or not answering
+  Never,
+};
+
+class PlacementExpectedWait final : public FirstPacketPlacement
+{
+public:
+  PlacementExpectedWait(const PlacementInit& aInit,
+                        const FleetState& aState,
+                        const LoadBoard& aLoad,
+                        const Clock& aClock)
+    : init_(aInit)
+    , state_(aState)
+    , load_(aLoad)
+    , clock_(aClock)
+    , random_(aInit.seed)
+  {
+  }
+
+  auto Choose(ServiceId aService, const FlowKey&, const Endpoint& aExcluded)
+    -> PlacementChoice override
+  {
+    Sort(aService, aExcluded);
+    if (near_.empty() && far_.empty()) {
+      return doubtful_.empty() ? PlacementChoice{} : ChooseDoubtful();
+    }
+    const auto mean = load_.MeanServiceTime(aService);
+    PlacementChoice best;
+    best.expected = microseconds::max();
+    Consider(near_, kNearChoices, microseconds{ 0 }, mean, "near", best);
+    Consider(far_, kFarChoices, kDomainCrossing, mean, "far", best);
+    return best;
+  }
+
+private:
+  auto Sort(ServiceId aService, const Endpoint& aExcluded) -> void
+  {
+    near_.clear();
+    far_.clear();
+    doubtful_.clear();
+    for (const auto index : state_.OfService(aService)) {
+      const auto& known = state_.Known()[index];
+      if (known.target.agent == aExcluded) {
+        continue;
+      }
+      switch (PreferenceOf(known)) {
+        case Preference::Fit:
+          (known.target.failureDomain == init_.failureDomain ? near_ : far_)
+            .push_back(&known);
+          break;
+        case Preference::Doubtful:
+          doubtful_.push_back(&known);
+          break;
+        default:
+          break;
+      }
+    }
+  }
+
+  auto PreferenceOf(const KnownTarget& aKnown) const -> Preference
+  {
+    if (aKnown.standing == TargetStanding::Leaving ||
+        aKnown.standing == TargetStanding::Gone) {
+      return Preference::Never;
+    }
+    const auto ip = aKnown.target.agent.ip;
+    const auto* peer = load_.Find(ip);
+    const bool answering = !peer || !peer->hasLoad ||
+                           (peer->load.fit && !peer->load.draining);
+    return aKnown.standing == TargetStanding::Open && !load_.IsSilent(ip) &&
+               answering
+             ? Preference::Fit
+             : Preference::Doubtful;
+  }
+
+  // Looks at a few random candidates of the list.
+  auto Consider(std::vector<const KnownTarget*>& aList,
+                std::size_t aLooks,
+                microseconds aExtra,
+                microseconds aMean,
+                const char* aCause,
+                PlacementChoice& aBest) -> void
+  {
+    const auto looks = std::min(aLooks, aList.size());
+    for (std::size_t i = 0; i < looks; ++i) {
+      std::uniform_int_distribution<std::size_t> pick(i, aList.size() - 1);
+      std::swap(aList[i], aList[pick(random_)]);
+      const auto expected = Expect(*aList[i], aMean) + aExtra;
+      if (expected < aBest.expected) {
+        aBest = { aList[i]->target.agent, expected, aCause };
+      }
+    }
+  }
+
+  auto Expect(const KnownTarget& aKnown, microseconds aMean) const
+    -> microseconds
+  {
+    const auto* peer = load_.Find(aKnown.target.agent.ip);
+    BackendLoad load;
+    std::uint32_t placed = 0;
+    if (peer && peer->hasLoad) {
+      load = peer->load;
+      placed = peer->placedSince;
+    }
+    load.slots = aKnown.target.slots;
+    auto service = load.serviceMicros > 0
+                     ? microseconds{ load.serviceMicros }
+                     : aMean;
+    if (clock_.Now() < aKnown.coldUntil) {
+      service = microseconds{ static_cast<std::int64_t>(
+        double(std::max(service, aMean).count()) * kColdFactor) };
+    }
+    return ExpectedAnswerTime(load, placed, service);
+  }
+
+  auto ChooseDoubtful() -> PlacementChoice
+  {
+    std::uniform_int_distribution<std::size_t> pick(0, doubtful_.size() - 1);
+    return { doubtful_[pick(random_)]->target.agent,
+             kDefaultServiceTime,
+             "doubtful" };
+  }
+
+  PlacementInit init_;
+  const FleetState& state_;
+  const LoadBoard& load_;
+  const Clock& clock_;
+  std::mt19937_64 random_;
+  // Scratch lists, kept to save allocations.
+  std::vector<const KnownTarget*> near_;
+  std::vector<const KnownTarget*> far_;
+  std::vector<const KnownTarget*> doubtful_;
+};
+
+} // namespace
+
+auto MakePlacementExpectedWait(const PlacementInit& aInit,
+                               const FleetState& aState,
+                               const LoadBoard& aLoad,
+                               const Clock& aClock)
+  -> std::unique_ptr<FirstPacketPlacement>
+{
+  return std::make_unique<PlacementExpectedWait>(
+    aInit, aState, aLoad, aClock);
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay/search_order.cpp
@@ -0,0 +1,124 @@
+#include "relay/search_order.h"
+
+#include "core/rendezvous.h"
+
+namespace damaskwalk {
+
+SearchOrder::SearchOrder(const FleetState& aState, const LoadBoard& aLoad)
+  : state_(aState)
+  , load_(aLoad)
+{
+}
+
+auto SearchOrder::DirectoryAgents(const RelayRoute& aRoute,
+                                  const FlowKey& aFlow) const
+  -> std::vector<Endpoint>
+{
+  struct Rank
+  {
+    bool heard = false;
+    std::uint64_t weight = 0;
+    Endpoint agent;
+  };
+  Rank first;
+  Rank second;
+  const auto key = HashOf(aFlow);
+  const auto before = [](const Rank& aLeft, const Rank& aRight) {
+    return aLeft.heard != aRight.heard ? aLeft.heard
+                                       : aLeft.weight > aRight.weight;
+  };
+  for (const auto& entry : aRoute.services) {
+    for (const auto index : state_.OfService(entry.service)) {
+      const auto& known = state_.Known()[index];
+      if (known.standing == TargetStanding::Gone) {
+        continue;
+      }
+      const auto& agent = known.target.agent;
+      Rank rank{ !load_.IsSilent(agent.ip),
+                 RendezvousWeight(key, agent),
+                 agent };
+      if (!first.agent.IsValid() || before(rank, first)) {
+        second = first;
+        first = rank;
+      } else if (!second.agent.IsValid() || before(rank, second)) {
+        second = rank;
+      }
+    }
+  }
+  std::vector<Endpoint> agents;
+  if (first.agent.IsValid()) {
+    agents.push_back(first.agent);
+  }
+  if (second.agent.IsValid()) {
+    agents.push_back(second.agent);
+  }
+  return agents;
+}
+
+template<class Accept>
+auto SearchOrder::NextOf(const RelayRoute& aRoute,
+                         const FlowKey& aFlow,
+                         const Endpoint& aAfter,
+                         Accept aAccept) const -> std::optional<Endpoint>
+{
+  const auto key = HashOf(aFlow);
+  const auto own = RendezvousWeight(key, aAfter);
+  std::uint64_t lowerWeight = 0;
+  std::uint64_t highestWeight = 0;
+  std::optional<Endpoint> lower;   // the highest weight below the own one
+  std::optional<Endpoint> highest; // where the order starts over
+  for (const auto& entry : aRoute.services) {
+    for (const auto index : state_.OfService(entry.service)) {
+      const auto& known = state_.Known()[index];
+      const auto& agent = known.target.agent;
+      if (agent == aAfter || !aAccept(known)) {
+        continue;
+      }
+      const auto weight = RendezvousWeight(key, agent);
+      if (weight < own && (!lower || weight > lowerWeight)) {
+        lowerWeight = weight;
+        lower = agent;
+      }
+      if (!highest || weight > highestWeight) {
+        highestWeight = weight;
+        highest = agent;
+      }
+    }
+  }
+  return lower ? lower : highest;
+}
+
+auto SearchOrder::Next(const RelayRoute& aRoute,
+                       const FlowKey& aFlow,
+                       const Endpoint& aAfter) const -> std::optional<Endpoint>
+{
+  return NextOf(aRoute, aFlow, aAfter, [this](const KnownTarget& aKnown) {
+    return !load_.IsSilent(aKnown.target.agent.ip);
+  });
+}
+
+auto SearchOrder::NextOpen(const RelayRoute& aRoute,
+                           const FlowKey& aFlow,
+                           const Endpoint& aAfter) const
+  -> std::optional<Endpoint>
+{
+  return NextOf(aRoute, aFlow, aAfter, [this](const KnownTarget& aKnown) {
+    const auto ip = aKnown.target.agent.ip;
+    const auto* peer = load_.Find(ip);
+    const bool answering =
+      !peer || !peer->hasLoad || (peer->load.fit && !peer->load.draining);
+    return aKnown.standing == TargetStanding::Open && answering &&
+           !load_.IsSilent(ip);
+  });
+}
+
+auto SearchOrder::Length(const RelayRoute& aRoute) const -> std::size_t
+{
+  std::size_t length = 0;
+  for (const auto& entry : aRoute.services) {
+    length += state_.OfService(entry.service).size();
+  }
+  return length;
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay_node/datagram_socket.cpp
@@ -0,0 +1,179 @@
+#include "relay_node/datagram_socket.h"
+
+#include "runtime/transport.h"
+
+#include <array>
+#include <cerrno>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+namespace damaskwalk {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t kBatch = 32;
+constexpr std::size_t kDatagramBytes = 2048;
+// Batches before other handlers get their turn.
+constexpr std::size_t kBatchesPerTurn = 8;
+// A burst of one flow window from each of a few hundred flows.
+constexpr int kReceiveBufferBytes = 1 << 20;
+
+auto ToSockaddr(const Endpoint& aEndpoint) -> sockaddr_in
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(aEndpoint.ip);
+  address.sin_port = htons(aEndpoint.port);
+  return address;
+}
+
+} // namespace
+
+struct DatagramSocket::Buffers
+{
+  std::array<std::array<char, kDatagramBytes>, kBatch> bytes;
+  std::array<mmsghdr, kBatch> heads{};
+  std::array<iovec, kBatch> parts{};
+  std::array<sockaddr_in, kBatch> from{};
+
+  auto Prepare() -> void
+  {
+    for (std::size_t i = 0; i < kBatch; ++i) {
+      parts[i] = { bytes[i].data(), kDatagramBytes };
+      heads[i] = {};
+      heads[i].msg_hdr.msg_iov = &parts[i];
+      heads[i].msg_hdr.msg_iovlen = 1;
+      heads[i].msg_hdr.msg_name = &from[i];
+      heads[i].msg_hdr.msg_namelen = sizeof from[i];
+    }
+  }
+};
+
+DatagramSocket::DatagramSocket(asio::io_context& aIo, const Endpoint& aAddress)
+  : socket_(aIo, asio::ip::udp::v4())
+  , buffers_(std::make_unique<Buffers>())
+{
+  boost::system::error_code ignored;
+  socket_.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes),
+                     ignored);
+  socket_.bind(ToAsioUdp(aAddress));
+  socket_.non_blocking(true);
+}
+
+DatagramSocket::DatagramSocket(asio::io_context& aIo,
+                               std::uint32_t aOwnIp,
+                               const Endpoint& aPeer)
+  : DatagramSocket(aIo, Endpoint{ aOwnIp, 0 })
+{
+  socket_.connect(ToAsioUdp(aPeer));
+  connected_ = true;
+}
+
+DatagramSocket::~DatagramSocket() = default;
+
+auto DatagramSocket::Start(Handler aHandler, std::function<void()> aAfterBatch)
+  -> void
+{
+  handler_ = std::move(aHandler);
+  afterBatch_ = std::move(aAfterBatch);
+  Wait();
+}
+
+auto DatagramSocket::Wait() -> void
+{
+  socket_.async_wait(asio::ip::udp::socket::wait_read,
+                     [this](const boost::system::error_code& aError) {
+                       if (aError == asio::error::operation_aborted) {
+                         return;
+                       }
+                       ReceiveBatches();
+                       Wait();
+                     });
+}
+
+auto DatagramSocket::ReceiveBatches() -> void
+{
+  for (std::size_t batch = 0; batch < kBatchesPerTurn; ++batch) {
+    buffers_->Prepare();
+    const auto count = ::recvmmsg(socket_.native_handle(),
+                                  buffers_->heads.data(),
+                                  kBatch,
+                                  MSG_DONTWAIT,
+                                  nullptr);
+    if (count < 0) {
+      refused_ |= errno == ECONNREFUSED;
+      break;
+    }
+    for (int i = 0; i < count; ++i) {
+      const auto& head = buffers_->heads[std::size_t(i)];
+      if ((head.msg_hdr.msg_flags & MSG_TRUNC) != 0) {
+        continue;
+      }
+      const auto& from = buffers_->from[std::size_t(i)];
+      handler_({ buffers_->bytes[std::size_t(i)].data(), head.msg_len },
+               { ntohl(from.sin_addr.s_addr), ntohs(from.sin_port) });
+    }
+    afterBatch_();
+    if (static_cast<std::size_t>(count) < kBatch) {
+      return;
+    }
+  }
+  afterBatch_();
+}
+
+auto DatagramSocket::Queue(std::string_view aBytes, const Endpoint& aTo) -> void
+{
+  out_.push_back({ outBytes_.size(), aBytes.size(), aTo });
+  outBytes_.insert(outBytes_.end(), aBytes.begin(), aBytes.end());
+}
+
+auto DatagramSocket::Flush() -> void
+{
+  std::array<mmsghdr, kBatch> heads;
+  std::array<iovec, kBatch> parts;
+  std::array<sockaddr_in, kBatch> to;
+  std::size_t next = 0;
+  while (next < out_.size()) {
+    const auto size = std::min(kBatch, out_.size() - next);
+    for (std::size_t i = 0; i < size; ++i) {
+      const auto& out = out_[next + i];
+      to[i] = ToSockaddr(out.to);
+      parts[i] = { outBytes_.data() + out.offset, out.size };
+      heads[i] = {};
+      heads[i].msg_hdr.msg_iov = &parts[i];
+      heads[i].msg_hdr.msg_iovlen = 1;
+      if (!connected_) {
+        heads[i].msg_hdr.msg_name = &to[i];
+        heads[i].msg_hdr.msg_namelen = sizeof to[i];
+      }
+    }
+    const auto sent = ::sendmmsg(socket_.native_handle(),
+                                 heads.data(),
+                                 static_cast<unsigned>(size),
+                                 MSG_DONTWAIT);
+    if (sent > 0) {
+      next += static_cast<std::size_t>(sent);
+      continue;
+    }
+    if (errno == ECONNREFUSED && !refused_) {
+      // Reports an earlier datagram; this one has not been tried yet.
+      refused_ = true;
+      continue;
+    }
+    // The first of the rest cannot be sent: drop it and go on.
+    ++dropped_;
+    ++next;
+  }
+  out_.clear();
+  outBytes_.clear();
+}
+
+auto DatagramSocket::TakeRefused() -> bool
+{
+  return std::exchange(refused_, false);
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay_node/http_endpoint.h
@@ -0,0 +1,47 @@
+#pragma once
+
+// Serves short GET requests: readiness and metrics.
+
+#include "core/types.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace damaskwalk {
+
+struct HttpReply
+{
+  unsigned status = 200;
+  std::string contentType = "text/plain";
+  std::string body;
+};
+
+// Single threaded. Serves until it is destroyed with its io_context.
+class HttpEndpoint
+{
+public:
+  using Handler = std::function<HttpReply()>;
+
+  // @throws boost::system::system_error when the address is taken.
+  HttpEndpoint(boost::asio::io_context& aIo, const Endpoint& aAddress);
+
+  auto Serve(const std::string& aPath, Handler aHandler) -> void;
+  auto Start() -> void;
+
+private:
+  auto Accept() -> boost::asio::awaitable<void>;
+  auto Converse(boost::asio::ip::tcp::socket aSocket)
+    -> boost::asio::awaitable<void>;
+  auto Answer(const std::string& aPath) const -> HttpReply;
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::map<std::string, Handler> handlers_;
+};
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay_node/relay_metrics.cpp
@@ -0,0 +1,135 @@
+// Counters of a relay process in the Prometheus text format.
+
+#include "relay_node/relay_process.h"
+
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
+namespace damaskwalk {
+
+namespace {
+
+class MetricList
+{
+public:
+  auto Counter(const char* aName, const char* aHelp, double aValue) -> void
+  {
+    auto& metric = Add(aName, aHelp, prometheus::MetricType::Counter);
+    metric.counter.value = aValue;
+  }
+  auto Gauge(const char* aName, const char* aHelp, double aValue) -> void
+  {
+    auto& metric = Add(aName, aHelp, prometheus::MetricType::Gauge);
+    metric.gauge.value = aValue;
+  }
+  auto Text() const -> std::string
+  {
+    return prometheus::TextSerializer().Serialize(families_);
+  }
+
+private:
+  auto Add(const char* aName,
+           const char* aHelp,
+           prometheus::MetricType aType) -> prometheus::ClientMetric&
+  {
+    prometheus::MetricFamily family;
+    family.name = std::string("damaskwalk_") + aName;
+    family.help = aHelp;
+    family.type = aType;
+    family.metric.emplace_back();
+    families_.push_back(std::move(family));
+    return families_.back().metric.back();
+  }
+
+  std::vector<prometheus::MetricFamily> families_;
+};
+
+auto AddBalancer(MetricList& aList, const BalancerRelay& aRelay) -> void
+{
+  const auto& counters = aRelay.Counters();
+  const auto count = [&aList](const char* aName, const char* aHelp, auto aV) {
+    aList.Counter(aName, aHelp, double(aV));
+  };
+  count("packets_total", "Packets from callers", counters.packets);
+  count("flows_placed_total", "First packets placed", counters.placed);
+  count("flows_placed_again_total",
+        "Copies of first packets sent to another agent",
+        counters.placedAgain);
+  count("packets_direct_total", "Packets of known flows", counters.direct);
+  count("packets_searched_total",
+        "Packets sent to a directory agent",
+        counters.searched);
+  count("flows_located_total", "Flows learnt from agents", counters.located);
+  count("resets_total", "Flows refused by a reset", counters.resets);
+  count("packets_no_route_total", "Packets of no route", counters.noRoute);
+  count("packets_no_agent_total", "Packets without an agent", counters.noAgent);
+  aList.Gauge("flows", "Flow entries", double(aRelay.Flows()));
+}
+
+auto AddAgent(MetricList& aList, AgentRelay& aRelay) -> void
+{
+  const auto& counters = aRelay.Counters();
+  const auto count = [&aList](const char* aName, const char* aHelp, auto aV) {
+    aList.Counter(aName, aHelp, double(aV));
+  };
+  count("packets_delivered_total",
+        "Packets to the backend server",
+        counters.delivered);
+  count("packets_to_callers_total", "Packets to callers", counters.toCallers);
+  count("flows_redirected_total",
+        "First packets passed on to another agent",
+        counters.redirected);
+  count("packets_followed_total",
+        "Packets passed on by a directory record",
+        counters.followed);
+  count("packets_searched_total",
+        "Packets passed on without a record",
+        counters.searched);
+  count("searches_ended_total",
+        "Packets whose flow no agent has",
+        counters.searchEnded);
+  count("packets_returned_total",
+        "Packets that the backend server refused",
+        counters.returned);
+  count("resets_total", "Flows reset", counters.resets);
+  count("requests_total", "Requests delivered", counters.requests);
+  count("failures_total", "Answers with a server error", counters.failures);
+  const auto report = aRelay.Report();
+  aList.Gauge("flows", "Flow entries", double(aRelay.Flows()));
+  aList.Gauge("records", "Directory records", double(aRelay.Records()));
+  aList.Gauge("requests_in_flight", "Requests unanswered", report.inFlight);
+  aList.Gauge("service_seconds",
+              "Mean time of a request in a slot",
+              report.serviceMicros / 1e6);
+}
+
+} // namespace
+
+auto RelayProcess::MetricsText() const -> std::string
+{
+  MetricList list;
+  if (balancer_) {
+    AddBalancer(list, *balancer_);
+  } else {
+    AddAgent(list, *agent_);
+  }
+  const auto digest = state_.Digest();
+  list.Gauge("routes_version", "Configuration in force", double(digest.routes));
+  list.Gauge("targets_revision", "Targets in force", double(digest.targets));
+  list.Gauge("state_age_seconds",
+             "Since the store confirmed the state",
+             double(digest.age.count()) / 1000.0);
+  list.Gauge("peers", "Relays heard from", double(load_.Peers().size()));
+  list.Counter(
+    "store_calls_total", "Calls to the store", double(init_.source.Calls()));
+  list.Counter("garbage_packets_total", "Unreadable packets", double(garbage_));
+  list.Counter("garbage_peer_messages_total",
+               "Unreadable messages of peers",
+               double(peerGarbage_));
+  list.Counter("log_lines_dropped_total",
+               "Log lines over the rate",
+               double(init_.log.Dropped()));
+  return list.Text();
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay_node/relay_peers.cpp
@@ -0,0 +1,322 @@
+// The part of a relay process that talks to peers and to the store.
+
+#include "relay/limits.h"
+#include "relay_node/relay_process.h"
+#include "runtime/bulk.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <algorithm>
+
+namespace damaskwalk {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+// A state of a megabyte over the slowest link takes most of a second.
+constexpr Millis kPullWithin{ 1500 };
+
+} // namespace
+
+auto RelayProcess::Tell(std::uint32_t aIp, const PeerMessage& aMessage) -> void
+{
+  peerSocket_.Queue(EncodePeerMessage(aMessage),
+                    { aIp, settings_.peers.port });
+}
+
+auto RelayProcess::OnPeerDatagram(std::span<char> aBytes,
+                                  const Endpoint& aFrom) -> void
+{
+  leaf::try_handle_all(
+    [&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(message,
+                      DecodePeerMessage({ aBytes.data(), aBytes.size() }));
+      if (const auto* heartbeat = std::get_if<RelayHeartbeat>(&message.body)) {
+        OnHeartbeat(aFrom.ip, *heartbeat);
+      } else if (const auto* location =
+                   std::get_if<FlowLocation>(&message.body)) {
+        if (balancer_) {
+          balancer_->OnFlowLocation(*location);
+        }
+      } else if (agent_) {
+        agent_->OnRegistration(std::get<FlowRegistration>(message.body));
+      }
+      return {};
+    },
+    [this] { ++peerGarbage_; });
+}
+
+auto RelayProcess::OnHeartbeat(std::uint32_t aIp, const RelayHeartbeat& aHeartbeat)
+  -> void
+{
+  const bool isNew = load_.Hear(aIp, aHeartbeat);
+  if (agent_ && aHeartbeat.role == RelayRole::Balancer) {
+    agent_->OnBalancer(aIp);
+  }
+  if (agent_ && aHeartbeat.role == RelayRole::Agent && isNew) {
+    // It may have lost the records that it kept for others.
+    agent_->OnTargetsChanged();
+  }
+  if (isNew || aHeartbeat.wantsReply) {
+    Tell(aIp, PeerMessage{ MakeHeartbeat() });
+  }
+  state_.Confirm(aHeartbeat.digest);
+  if (aHeartbeat.digest.IsNewerThan(state_.Digest())) {
+    StartPull(aIp);
+  }
+}
+
+auto RelayProcess::MakeHeartbeat() -> RelayHeartbeat
+{
+  RelayHeartbeat heartbeat;
+  heartbeat.role = settings_.role;
+  heartbeat.incarnation = incarnation_;
+  heartbeat.digest = state_.Digest();
+  if (agent_) {
+    heartbeat.load.push_back(agent_->Report());
+  }
+  return heartbeat;
+}
+
+auto RelayProcess::SendHeartbeats() -> void
+{
+  const auto targets = state_.Known().size();
+  load_.SetHeartbeatPeriod(
+    std::max(kRelayHeartbeat,
+             kRelayHeartbeatSpacing * static_cast<std::int64_t>(targets)));
+  const PeerMessage message{ MakeHeartbeat() };
+  const auto service = ServiceIdOf(settings_.service);
+  for (const auto& known : state_.Known()) {
+    const auto& target = known.target;
+    if (target.agent == settings_.packets ||
+        (agent_ && target.service != service)) {
+      continue;
+    }
+    Tell(target.agent.ip, message);
+  }
+  if (balancer_) {
+    return;
+  }
+  for (const auto& [ip, peer] : load_.Peers()) {
+    if (peer.role == RelayRole::Balancer) {
+      Tell(ip, message);
+    }
+  }
+}
+
+auto RelayProcess::ReportLoadTo(std::uint32_t aIp) -> void
+{
+  const auto now = init_.clock.Now();
+  auto& last = reportedTo_[aIp];
+  if (now - last < kLoadReportSpacing) {
+    return;
+  }
+  last = now;
+  Tell(aIp, PeerMessage{ MakeHeartbeat() });
+}
+
+auto RelayProcess::KnownPeers() const -> std::unordered_set<std::uint32_t>
+{
+  std::unordered_set<std::uint32_t> peers;
+  for (const auto& known : state_.Known()) {
+    peers.insert(known.target.agent.ip);
+  }
+  for (const auto& [ip, peer] : load_.Peers()) {
+    peers.insert(ip);
+  }
+  peers.insert(settings_.seeds.begin(), settings_.seeds.end());
+  peers.erase(settings_.peers.ip);
+  return peers;
+}
+
+auto RelayProcess::AnnounceDigest() -> void
+{
+  const PeerMessage message{ MakeHeartbeat() };
+  for (const auto ip : KnownPeers()) {
+    Tell(ip, message);
+  }
+  peerSocket_.Flush();
+}
+
+auto RelayProcess::ServePeers() -> Task
+{
+  for (;;) {
+    auto [error, socket] = co_await peerAcceptor_.async_accept(kAwait);
+    if (error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (!error) {
+      asio::co_spawn(init_.io, ServePeer(std::move(socket)), asio::detached);
+    }
+  }
+}
+
+auto RelayProcess::ServePeer(asio::ip::tcp::socket aSocket) -> Task
+{
+  beast::tcp_stream stream(std::move(aSocket));
+  stream.expires_after(kPullWithin);
+  const auto bytes = co_await ReadBulk(stream);
+  if (!bytes) {
+    co_return;
+  }
+  const auto reply = StateFor(
+    leaf::try_handle_all(
+      [&]() -> leaf::result<StateRequest> { return DecodeStateRequest(*bytes); },
+      [this] {
+        ++peerGarbage_;
+        return StateRequest{};
+      }));
+  co_await WriteBulk(stream, reply);
+}
+
+auto RelayProcess::StateFor(const StateRequest& aRequest) -> std::string
+{
+  StateReply reply;
+  reply.digest = state_.Digest();
+  if (state_.HasState()) {
+    if (reply.digest.routes > aRequest.have.routes) {
+      reply.routes.push_back(state_.Routes());
+    }
+    if (reply.digest.targets > aRequest.have.targets &&
+        reply.digest.targetsHash != aRequest.have.targetsHash) {
+      reply.targets.push_back(state_.Targets());
+    }
+  }
+  return EncodeStateReply(reply);
+}
+
+auto RelayProcess::StartPull(std::uint32_t aIp) -> void
+{
+  if (pulling_ || aIp == settings_.peers.ip) {
+    return;
+  }
+  pulling_ = true;
+  asio::co_spawn(init_.io, PullFrom(aIp), asio::detached);
+}
+
+auto RelayProcess::PullFrom(std::uint32_t aIp) -> Task
+{
+  const auto had = state_.Digest();
+  const auto began = init_.clock.Now();
+  const auto answer =
+    co_await CallBulk({ aIp, settings_.peers.port },
+                      EncodeStateRequest({ had }),
+                      kPullWithin);
+  pulling_ = false;
+  if (answer.status != CallStatus::Replied) {
+    co_return;
+  }
+  const auto took =
+    std::chrono::duration_cast<Millis>(init_.clock.Now() - began);
+  leaf::try_handle_all(
+    [&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(reply, DecodeStateReply(answer.bytes));
+      bool changed = false;
+      for (auto& table : reply.routes) {
+        changed |= state_.OfferRoutes(std::move(table));
+      }
+      for (const auto& set : reply.targets) {
+        changed |= state_.OfferTargets(set, reply.digest.age + took);
+      }
+      if (changed) {
+        OnStateChanged("peer");
+      }
+      return {};
+    },
+    [this] { ++peerGarbage_; });
+  FlushAll();
+}
+
+auto RelayProcess::ReadStore() -> Task
+{
+  reading_ = true;
+  const auto began = init_.clock.Now();
+  const bool wantsRoutes =
+    schedule_.WantsRoutes() || state_.Routes().version == 0;
+  auto targets = co_await init_.source.ReadTargets();
+  bool changed = false;
+  bool served = true;
+  if (const auto* error = std::get_if<StateSourceError>(&targets)) {
+    NoteStoreError("targets", *error);
+    served = false;
+  } else {
+    const auto took =
+      std::chrono::duration_cast<Millis>(init_.clock.Now() - began);
+    changed |= state_.OfferTargets(std::get<TargetSet>(targets), took);
+  }
+  if (served && wantsRoutes) {
+    auto routes = co_await init_.source.ReadRoutes();
+    if (const auto* error = std::get_if<StateSourceError>(&routes)) {
+      NoteStoreError("routes", *error);
+      served = false;
+    } else if (auto& table = std::get<std::optional<RouteTable>>(routes)) {
+      changed |= state_.OfferRoutes(std::move(*table));
+    }
+  }
+  reading_ = false;
+  schedule_.NoteRead(served);
+  if (served) {
+    NoteStoreServed();
+  }
+  if (changed) {
+    OnStateChanged("store");
+  }
+  if (served) {
+    AnnounceDigest();
+  }
+  FlushAll();
+}
+
+auto RelayProcess::NoteStoreError(const char* aWhat, StateSourceError aError)
+  -> void
+{
+  if (!std::exchange(storeLost_, true)) {
+    init_.log.Write(EventLevel::Warning,
+                    Event("store_lost")
+                      .With("reading", aWhat)
+                      .With("cause", ToText(aError))
+                      .With("age_ms", state_.Digest().age.count())
+                      .Text());
+  }
+}
+
+auto RelayProcess::NoteStoreServed() -> void
+{
+  if (std::exchange(storeLost_, false)) {
+    init_.log.Write(EventLevel::Info, Event("store_regained").Text());
+  }
+}
+
+auto RelayProcess::OnStateChanged(const char* aCause) -> void
+{
+  std::size_t open = 0;
+  for (const auto& known : state_.Known()) {
+    open += known.standing == TargetStanding::Open ? 1 : 0;
+  }
+  const auto digest = state_.Digest();
+  init_.log.Write(EventLevel::Info,
+                  Event("state_in_force")
+                    .With("cause", aCause)
+                    .With("routes", digest.routes)
+                    .With("targets", digest.targets)
+                    .With("age_ms", digest.age.count())
+                    .With("open_targets", open)
+                    .With("known_targets", state_.Known().size())
+                    .Text());
+  if (agent_) {
+    agent_->OnTargetsChanged();
+  }
+  if (state_.HasState() && !waiting_.empty()) {
+    ReplayWaiting();
+  }
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay_node/relay_process.h
@@ -0,0 +1,165 @@
+#pragma once
+
+// One process of the pass-through relay: sockets, timers, the store reader and
+// the exchange of state with peers around the relay's decisions.
+
+#include "relay/agent_relay.h"
+#include "relay/balancer_relay.h"
+#include "relay/read_schedule.h"
+#include "relay_node/bounded_log.h"
+#include "relay_node/datagram_socket.h"
+#include "relay_node/http_endpoint.h"
+#include "relay_node/interfaces.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <unordered_set>
+
+namespace damaskwalk {
+
+struct RelaySettings
+{
+  std::string node; // name in logs
+  RelayRole role = RelayRole::Balancer;
+  std::string failureDomain;
+  Endpoint packets; // takes callers' packets (balancer) or peers' (agent)
+  Endpoint peers;   // UDP messages and TCP state exchange between relays
+  Endpoint http;    // readiness
+  Endpoint metrics; // metrics; invalid: none
+  std::string readyPath = "/ready";
+  std::string metricsPath = "/metrics";
+  // Port at a caller's address that takes its packets.
+  std::uint16_t callerPort = 0;
+  // VMs to ask first when nothing is known.
+  std::vector<std::uint32_t> seeds;
+  Millis stopWithin{ 5000 };
+
+  // Agents only.
+  std::string service;
+  Endpoint backend;  // takes callers' packets, on this VM
+  Endpoint outbound; // where the backend server sends its packets
+};
+
+// Rereads the settings; nothing when they are refused.
+class SettingsSource
+{
+public:
+  virtual ~SettingsSource() = default;
+  virtual auto HasChanged() -> bool = 0;
+  virtual auto Load() -> std::optional<RelaySettings> = 0;
+};
+
+struct RelayProcessInit
+{
+  RelaySettings settings;
+  PacketCodec& codec;
+  ContentReader& reader;
+  StateSource& source;
+  SettingsSource& settingsSource;
+  const Clock& clock;
+  BoundedLog& log;
+  boost::asio::io_context& io;
+};
+
+class RelayProcess final : public RelayPort
+{
+public:
+  // @throws boost::system::system_error when an address is taken.
+  explicit RelayProcess(const RelayProcessInit& aInit);
+  ~RelayProcess() override;
+
+  // Serves until SIGTERM. @return the exit code.
+  auto Run() -> int;
+
+  auto ToAgent(const Endpoint& aAgent, const Packet& aPacket) -> void override;
+  auto ToBackend(const Packet& aPacket) -> void override;
+  auto ToCaller(const Packet& aPacket) -> void override;
+  auto ResetCaller(const FlowKey& aFlow, std::uint32_t aSequence)
+    -> void override;
+  auto Tell(std::uint32_t aIp, const PeerMessage& aMessage) -> void override;
+
+private:
+  using Task = boost::asio::awaitable<void>;
+
+  struct WaitingPacket
+  {
+    std::string bytes;
+    TimePoint since;
+  };
+
+  // Packets.
+  auto OnPacket(std::span<char> aBytes, const Endpoint& aFrom) -> void;
+  auto OnOutbound(std::span<char> aBytes) -> void;
+  auto Handle(const Packet& aPacket) -> void;
+  auto ReplayWaiting() -> void;
+  auto FlushAll() -> void;
+
+  // Peers.
+  auto OnPeerDatagram(std::span<char> aBytes, const Endpoint& aFrom) -> void;
+  auto OnHeartbeat(std::uint32_t aIp, const RelayHeartbeat& aHeartbeat) -> void;
+  auto MakeHeartbeat() -> RelayHeartbeat;
+  auto SendHeartbeats() -> void;
+  auto ReportLoadTo(std::uint32_t aIp) -> void;
+  auto AnnounceDigest() -> void;
+  auto KnownPeers() const -> std::unordered_set<std::uint32_t>;
+
+  // State.
+  auto ServePeers() -> Task;
+  auto ServePeer(boost::asio::ip::tcp::socket aSocket) -> Task;
+  auto StateFor(const StateRequest& aRequest) -> std::string;
+  auto PullFrom(std::uint32_t aIp) -> Task;
+  auto StartPull(std::uint32_t aIp) -> void;
+  auto ReadStore() -> Task;
+  auto NoteStoreError(const char* aWhat, StateSourceError aError) -> void;
+  auto NoteStoreServed() -> void;
+  auto OnStateChanged(const char* aCause) -> void;
+
+  // Life.
+  auto Tick() -> void;
+  auto ScheduleTick() -> void;
+  auto WaitForSignal() -> void;
+  auto Reload(const char* aCause) -> void;
+  auto BeginStop() -> void;
+  auto CheckStop() -> void;
+  auto IsReady() const -> bool;
+  auto Ready() const -> HttpReply;
+  auto MetricsText() const -> std::string;
+
+  RelayProcessInit init_;
+  RelaySettings settings_;
+  FleetState state_;
+  LoadBoard load_;
+  ReadSchedule schedule_;
+  std::unique_ptr<FirstPacketPlacement> placement_;
+  std::unique_ptr<BalancerRelay> balancer_;
+  std::unique_ptr<AgentRelay> agent_;
+  std::uint64_t incarnation_;
+
+  DatagramSocket packetSocket_;
+  DatagramSocket peerSocket_;
+  std::unique_ptr<DatagramSocket> outboundSocket_;
+  std::unique_ptr<DatagramSocket> backendSocket_;
+  HttpEndpoint http_;
+  std::unique_ptr<HttpEndpoint> metrics_;
+  boost::asio::ip::tcp::acceptor peerAcceptor_;
+  boost::asio::steady_timer tickTimer_;
+  boost::asio::signal_set signals_;
+
+  std::deque<WaitingPacket> waiting_;
+  std::unordered_map<std::uint32_t, TimePoint> reportedTo_;
+  TimePoint nextHeartbeat_;
+  TimePoint nextSweep_;
+  TimePoint lastCallerPacket_;
+  TimePoint lastTick_;
+  bool reading_ = false;
+  bool pulling_ = false;
+  bool storeLost_ = false;
+  bool stopping_ = false;
+  TimePoint stopBegan_;
+  std::uint64_t garbage_ = 0;
+  std::uint64_t peerGarbage_ = 0;
+};
+
+} // namespace damaskwalk
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -1,15 +1,31 @@
 #include "runtime/log.h"
 
+#include <glog/logging.h>
+
 #include <chrono>
+#include <cstdio>
 #include <ctime>
-#include <iomanip>
-#include <sstream>
 
 namespace damaskwalk {
 
 namespace {
 
-auto Prefix(const char* aLevel) -> std::string
+class GlogSink final : public EventSink
+{
+public:
+  auto Write(EventLevel aLevel, std::string_view aText) -> void override
+  {
+    if (aLevel == EventLevel::Warning) {
+      LOG(WARNING) << LogPrefix(aLevel) << aText;
+    } else {
+      LOG(INFO) << LogPrefix(aLevel) << aText;
+    }
+  }
+};
+
+} // namespace
+
+auto LogPrefix(EventLevel aLevel) -> std::string
 {
   const auto now = std::chrono::system_clock::now();
   const auto seconds = std::chrono::system_clock::to_time_t(now);
@@ -19,49 +35,29 @@
                       1000000;
   std::tm parts{};
   gmtime_r(&seconds, &parts);
-  std::ostringstream text;
-  text << "time=" << std::put_time(&parts, "%FT%T") << '.' << std::setfill('0')
-       << std::setw(6) << micros << "Z level=" << aLevel << ' ';
-  return text.str();
-}
-
-} // namespace
-
-Event::Event(std::string_view aName)
-  : text_("event=" + std::string(aName))
-{
-}
-
-auto Event::With(std::string_view aKey, std::string_view aValue) -> Event&&
-{
-  const bool quote =
-    aValue.empty() || aValue.find_first_of(" \"\n=") != std::string_view::npos;
-  std::ostringstream text;
-  text << ' ' << aKey << '=';
-  if (quote) {
-    text << std::quoted(aValue);
-  } else {
-    text << aValue;
-  }
-  text_ += text.str();
-  return std::move(*this);
-}
-
-auto Event::Info() const -> void
-{
-  LOG(INFO) << Prefix("info") << text_;
-}
-
-auto Event::Warn() const -> void
-{
-  LOG(WARNING) << Prefix("warning") << text_;
+  char text[80];
+  const auto size =
+    std::snprintf(text,
+                  sizeof text,
+                  "time=%04d-%02d-%02dT%02d:%02d:%02d.%06dZ level=%s ",
+                  parts.tm_year + 1900,
+                  parts.tm_mon + 1,
+                  parts.tm_mday,
+                  parts.tm_hour,
+                  parts.tm_min,
+                  parts.tm_sec,
+                  static_cast<int>(micros),
+                  aLevel == EventLevel::Warning ? "warning" : "info");
+  return { text, static_cast<std::size_t>(size) };
 }
 
 auto StartLogging(const char* aProgram) -> void
 {
+  static GlogSink sink;
   FLAGS_logtostderr = true;
   FLAGS_log_prefix = false;
   google::InitGoogleLogging(aProgram);
+  SetProcessEventSink(&sink);
 }
 
 } // namespace damaskwalk
--- a/src/runtime/log.h
+++ b/src/runtime/log.h
@@ -1,44 +1,15 @@
 #pragma once
 
-// One line of key=value pairs for each event, through glog.
+// Writes events through glog, for the daemons of the terminating data path.
 
-#include <glog/logging.h>
-
-#include <string>
-#include <string_view>
+#include "core/event.h"
 
 namespace damaskwalk {
 
-class Event
-{
-public:
-  explicit Event(std::string_view aName);
-
-  auto With(std::string_view aKey, std::string_view aValue) -> Event&&;
-  auto With(std::string_view aKey, const char* aValue) -> Event&&
-  {
-    return With(aKey, std::string_view(aValue));
-  }
-  auto With(std::string_view aKey, const std::string& aValue) -> Event&&
-  {
-    return With(aKey, std::string_view(aValue));
-  }
-  template<class Number>
-  auto With(std::string_view aKey, Number aValue) -> Event&&
-  {
-    return With(aKey, std::string_view(std::to_string(aValue)));
-  }
-
-  auto Text() const -> const std::string& { return text_; }
-  auto Info() const -> void;
-  auto Warn() const -> void;
-
-private:
-  std::string text_;
-};
+// "time=2026-12-04T04:21:50.000000Z level=info ", the start of every line.
+auto LogPrefix(EventLevel aLevel) -> std::string;
 
-// Sends glog to standard error without its own prefix; each line
-// starts with time= and level=.
+// Sends events through glog to standard error, without glog's own prefix.
 auto StartLogging(const char* aProgram) -> void;
 
 } // namespace damaskwalk
--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -179,13 +179,6 @@
 
 } // namespace
 
-auto ToText(const SettingsError& aError) -> std::string
-{
-  return "event=settings_refused file=\"" + aError.file + "\" section=\"" +
-         aError.section + "\" key=\"" + aError.key + "\" problem=\"" +
-         aError.problem + "\"";
-}
-
 auto LoadBalancerSettings(const std::string& aFile)
   -> leaf::result<BalancerSettings>
 {
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -5,6 +5,7 @@
 
 #include "core/clock.h"
 #include "core/types.h"
+#include "runtime/settings_error.h"
 
 #include <boost/leaf/result.hpp>
 
@@ -14,17 +15,6 @@
 
 namespace damaskwalk {
 
-// A fault in a settings file, or in what the file asks the machine for.
-struct SettingsError
-{
-  std::string file;
-  std::string section;
-  std::string key;
-  std::string problem;
-};
-
-auto ToText(const SettingsError& aError) -> std::string;
-
 // What both roles share.
 struct NodeSettings
 {
