Count a request until its answer, not until its caller's half-close

Cause: callers close their direction right after the request, and the agent took that for the end of the flow; requests in flight and service times were measured for downloads only (request_answered was logged for 8% of the requests), so placement was blind. Packets of one message also arrive in any order, so a message's first line is read when it comes. Log lines are written one by one.

--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -155,9 +155,8 @@
     aOwn.callerAcknowledged = aPacket.acknowledgement;
   }
   NoteCallerData(aOwn, aPacket);
-  if (aPacket.finishes || aPacket.resets) {
-    Finish(aOwn);
-  }
+  aOwn.callerClosed |= aPacket.finishes;
+  FinishIfOver(aOwn, aPacket);
   aPort.ToBackend(aPacket);
 }
 
@@ -272,9 +271,8 @@
     Register(aPacket.flow, own);
   }
   NoteBackendData(own, aPacket);
-  if (aPacket.finishes || aPacket.resets) {
-    Finish(own);
-  }
+  own.backendClosed |= aPacket.finishes;
+  FinishIfOver(own, aPacket);
 }
 
 auto AgentRelay::OnReturned(Packet& aPacket, RelayPort& aPort) -> void
@@ -339,26 +337,37 @@
 
 auto AgentRelay::NoteCallerData(OwnFlow& aOwn, const Packet& aPacket) -> void
 {
-  if (aPacket.payload.empty()) {
+  if (aPacket.payload.empty() || aOwn.phase == Phase::Finished) {
     return;
   }
   const auto end =
     aPacket.sequence + static_cast<std::uint32_t>(aPacket.payload.size());
-  if (aOwn.callerNext != 0 && AtOrAfter(aOwn.callerNext, end)) {
-    return; // sent again
+  const bool isNew = aOwn.callerNext == 0 || !AtOrAfter(aOwn.callerNext, end);
+  if (isNew) {
+    aOwn.callerNext = end;
   }
-  aOwn.callerNext = end;
-  if (aOwn.busy || aOwn.phase == Phase::Finished) {
-    return;
+  if (isNew && !aOwn.busy) {
+    ++counters_.requests;
+    aOwn.busy = true;
+    aOwn.requestUnread = true;
+    aOwn.requestBegan = clock_.Now();
+    aOwn.before = meter_.BeginRequest();
   }
-  ++counters_.requests;
-  aOwn.busy = true;
-  aOwn.requestBegan = clock_.Now();
-  aOwn.before = meter_.BeginRequest();
+  if (aOwn.requestUnread) {
+    ReadRequest(aOwn, aPacket);
+  }
+}
+
+auto AgentRelay::ReadRequest(OwnFlow& aOwn, const Packet& aPacket) -> void
+{
   const auto id = reader_.RequestId(aPacket.payload);
+  if (id.empty()) {
+    return;
+  }
+  aOwn.requestUnread = false;
   log_.Write(EventLevel::Info,
              Event("request_delivered")
-               .With("request", id.empty() ? "unknown" : id)
+               .With("request", id)
                .With("flow", ToText(aPacket.flow))
                .With("in_flight", aOwn.before)
                .With("hops", aPacket.tag.hops)
@@ -367,20 +376,31 @@
 
 auto AgentRelay::NoteBackendData(OwnFlow& aOwn, const Packet& aPacket) -> void
 {
-  if (aPacket.payload.empty() || !aOwn.busy) {
+  if (aPacket.payload.empty()) {
     return;
   }
-  EndRequest(aOwn, aPacket);
+  if (aOwn.busy) {
+    aOwn.busy = false;
+    aOwn.answerUnread = true;
+    aOwn.answerBegan = clock_.Now();
+    meter_.EndRequest(aOwn.requestBegan, aOwn.before);
+  }
+  if (aOwn.answerUnread) {
+    ReadAnswer(aOwn, aPacket);
+  }
 }
 
-auto AgentRelay::EndRequest(OwnFlow& aOwn, const Packet& aPacket) -> void
+auto AgentRelay::ReadAnswer(OwnFlow& aOwn, const Packet& aPacket) -> void
 {
   const auto answer = reader_.Answer(aPacket.payload);
+  if (answer.status == 0) {
+    return;
+  }
+  aOwn.answerUnread = false;
   const bool failed = answer.status >= 500 || answer.notRun;
   counters_.failures += failed ? 1 : 0;
-  aOwn.busy = false;
-  meter_.EndRequest(aOwn.requestBegan, aOwn.before, failed);
-  const auto took = clock_.Now() - aOwn.requestBegan;
+  meter_.NoteAnswer(failed);
+  const auto took = aOwn.answerBegan - aOwn.requestBegan;
   log_.Write(
     failed ? EventLevel::Warning : EventLevel::Info,
     Event("request_answered")
@@ -392,6 +412,13 @@
       .Text());
 }
 
+auto AgentRelay::FinishIfOver(OwnFlow& aOwn, const Packet& aPacket) -> void
+{
+  if (aPacket.resets || (aOwn.callerClosed && aOwn.backendClosed)) {
+    Finish(aOwn);
+  }
+}
+
 auto AgentRelay::Finish(OwnFlow& aOwn) -> void
 {
   if (aOwn.busy) {
--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -75,7 +75,7 @@
   {
     Opening, // the backend server has not answered the first packet
     Open,
-    Finished, // one end closed or reset it
+    Finished, // both ends closed it, or one reset it
   };
 
   struct OwnFlow
@@ -83,6 +83,13 @@
     Phase phase = Phase::Opening;
     bool answered = false; // the backend server accepted the first packet
     bool busy = false;     // a request waits for its answer
+    // Packets of one message may arrive in any order; its first line is logged
+    // when it comes.
+    bool requestUnread = false;
+    bool answerUnread = false;
+    // Each end closes its direction; an answer may follow the caller's close.
+    bool callerClosed = false;
+    bool backendClosed = false;
     std::uint16_t balancer = 0;
     std::uint32_t backendSequence = 0;
     std::uint32_t callerNext = 0; // first byte that the caller did not send yet
@@ -90,6 +97,7 @@
     std::uint32_t before = 0; // requests in flight when this one began
     TimePoint lastPacket;
     TimePoint requestBegan;
+    TimePoint answerBegan;
     TimePoint registeredAt;
   };
 
@@ -123,7 +131,9 @@
   auto Deliver(OwnFlow& aOwn, const Packet& aPacket, RelayPort& aPort) -> void;
   auto NoteCallerData(OwnFlow& aOwn, const Packet& aPacket) -> void;
   auto NoteBackendData(OwnFlow& aOwn, const Packet& aPacket) -> void;
-  auto EndRequest(OwnFlow& aOwn, const Packet& aPacket) -> void;
+  auto ReadRequest(OwnFlow& aOwn, const Packet& aPacket) -> void;
+  auto ReadAnswer(OwnFlow& aOwn, const Packet& aPacket) -> void;
+  auto FinishIfOver(OwnFlow& aOwn, const Packet& aPacket) -> void;
   auto Finish(OwnFlow& aOwn) -> void;
   auto ResetLost(const FlowKey& aFlow,
                  OwnFlow& aOwn,
--- a/src/relay/backend_meter.cpp
+++ b/src/relay/backend_meter.cpp
@@ -39,15 +39,14 @@
   return inFlight_++;
 }
 
-auto BackendMeter::EndRequest(TimePoint aBegan,
-                              std::uint32_t aBefore,
-                              bool aFailed) -> void
+auto BackendMeter::NoteAnswer(bool aFailed) -> void
 {
-  AbandonRequest();
   failureShare_ += kFailureWeight * ((aFailed ? 1.0 : 0.0) - failureShare_);
-  if (aFailed) {
-    return;
-  }
+}
+
+auto BackendMeter::EndRequest(TimePoint aBegan, std::uint32_t aBefore) -> void
+{
+  AbandonRequest();
   // Requests ahead share the slots: their wait is no service time.
   const std::chrono::duration<double, std::micro> took = clock_.Now() - aBegan;
   const double crowd = std::max(1.0, (aBefore + 1.0) / slots_);
--- a/src/relay/backend_meter.h
+++ b/src/relay/backend_meter.h
@@ -18,8 +18,9 @@
   // @return the requests in flight before this one.
   auto BeginRequest() -> std::uint32_t;
   // @param aBefore what BeginRequest returned.
-  auto EndRequest(TimePoint aBegan, std::uint32_t aBefore, bool aFailed)
-    -> void;
+  auto EndRequest(TimePoint aBegan, std::uint32_t aBefore) -> void;
+  // @param aFailed the backend server refused the request or failed.
+  auto NoteAnswer(bool aFailed) -> void;
   // The flow ended before the answer came.
   auto AbandonRequest() -> void;
 
--- a/src/relay_node/bounded_log.cpp
+++ b/src/relay_node/bounded_log.cpp
@@ -28,16 +28,19 @@
   }
 
   auto TakeOverflow() -> std::uint64_t { return std::exchange(overflow_, 0); }
+  // One write a line: readers that cut long writes still get whole lines.
   auto WriteOut() -> void
   {
-    while (!pending_.empty()) {
-      const auto written =
-        ::write(descriptor_, pending_.data(), pending_.size());
+    std::size_t done = 0;
+    while (done < pending_.size()) {
+      const auto line = pending_.find('\n', done) + 1 - done;
+      const auto written = ::write(descriptor_, pending_.data() + done, line);
       if (written <= 0) {
-        return;
+        break;
       }
-      pending_.erase(0, static_cast<std::size_t>(written));
+      done += static_cast<std::size_t>(written);
     }
+    pending_.erase(0, done);
   }
 
 protected:
--- a/src/relay_node/relay_process.cpp
+++ b/src/relay_node/relay_process.cpp
@@ -279,7 +279,6 @@
     if (init_.settingsSource.HasChanged()) {
       Reload("file_changed");
     }
-    init_.log.Flush();
   }
   if (now >= nextHeartbeat_) {
     nextHeartbeat_ = now + load_.HeartbeatPeriod();
@@ -299,6 +298,7 @@
     CheckStop();
   }
   FlushAll();
+  init_.log.Flush();
 }
 
 auto RelayProcess::WaitForSignal() -> void
--- a/tests/relay_model.cpp
+++ b/tests/relay_model.cpp
@@ -20,6 +20,7 @@
 constexpr std::uint8_t kSyn = 32;
 constexpr std::uint8_t kAck = 128;
 constexpr std::uint8_t kRst = 2;
+constexpr std::uint8_t kFin = 64;
 constexpr std::uint8_t kBack = 8;
 
 auto MakePacket(std::uint8_t aFlags,
@@ -272,6 +273,18 @@
   flow.sequence += 3;
 }
 
+auto RelayModel::Close(std::size_t aFlow, std::size_t aBalancer) -> void
+{
+  auto& flow = flows_[aFlow];
+  FromCaller(aBalancer,
+             MakePacket(kAck | kFin,
+                        flow.key.caller,
+                        flow.key.address,
+                        flow.sequence++,
+                        flow.acknowledged,
+                        ""));
+}
+
 auto RelayModel::IsHeld(const ModelFlow& aFlow) const -> bool
 {
   for (const auto& target : targets_) {
--- a/tests/relay_model.h
+++ b/tests/relay_model.h
@@ -65,6 +65,8 @@
   // Callers. A balancer is named by its index.
   auto Open(std::size_t aService, std::size_t aBalancer) -> std::size_t;
   auto Ask(std::size_t aFlow, std::size_t aBalancer) -> void;
+  // Closes the caller's direction.
+  auto Close(std::size_t aFlow, std::size_t aBalancer) -> void;
   auto Flow(std::size_t aFlow) -> ModelFlow& { return flows_[aFlow]; }
   // The flow's backend server still holds it.
   auto IsHeld(const ModelFlow& aFlow) const -> bool;
