Let excess first packets wait at the agent, in order

Agents without a load report also looked idle whatever had been placed there.

An agent admits twice the slots and a few on their way; the rest waits as first packets, those that can still be on time first, urgent kinds before others; what cannot open before its caller gives up is refused at once. Placements are counted for agents not yet heard.

--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -83,14 +83,116 @@
     Redirect(aPacket, *route, "table_full", aPort);
     return;
   }
-  auto& own = flows_[aPacket.flow];
-  own.balancer = aPacket.tag.balancer;
-  own.callerNext = aPacket.sequence + 1;
-  openings_[aPacket.flow] = { std::string(aPacket.bytes.data(),
-                                          aPacket.bytes.size()),
-                              aPacket.tag,
-                              clock_.Now() };
-  Deliver(own, aPacket, aPort);
+  auto opening = MakeWaiting(aPacket, *route);
+  if (HasRoom() && queue_.Size() == 0) {
+    Admit(opening, aPort);
+  } else {
+    Enqueue(std::move(opening), aPort);
+  }
+}
+
+auto AgentRelay::MakeWaiting(const Packet& aPacket,
+                             const RelayRoute& aRoute) const -> WaitingOpening
+{
+  const auto copies = aPacket.acknowledgement;
+  const auto age = copies == 0   ? Millis{ 0 }
+                   : copies == 1 ? kFirstCopyAfter
+                                 : kSecondCopyAfter;
+  const auto objective = aRoute.latencyObjective.count() > 0
+                           ? aRoute.latencyObjective
+                           : kDefaultObjective;
+  WaitingOpening opening;
+  opening.flow = aPacket.flow;
+  opening.bytes.assign(aPacket.bytes.data(), aPacket.bytes.size());
+  opening.tag = aPacket.tag;
+  opening.sentAt = clock_.Now() - age;
+  opening.onTimeUntil = opening.sentAt + objective;
+  opening.priority = aRoute.priority;
+  return opening;
+}
+
+auto AgentRelay::HasRoom() const -> bool
+{
+  return meter_.InFlight() + awaitedCount_ <
+         kRequestsPerSlot * meter_.Slots() + kRequestsOnTheWay;
+}
+
+auto AgentRelay::Admit(const WaitingOpening& aOpening, RelayPort& aPort) -> void
+{
+  auto& own = flows_[aOpening.flow];
+  own.balancer = aOpening.tag.balancer;
+  own.awaited = true;
+  ++awaitedCount_;
+  const auto now = clock_.Now();
+  awaited_.emplace_back(now, aOpening.flow);
+  openings_[aOpening.flow] = { aOpening.bytes, aOpening.tag, now };
+  Packet packet;
+  packet.flow = aOpening.flow;
+  packet.opens = true;
+  packet.tag = aOpening.tag;
+  auto bytes = aOpening.bytes;
+  packet.bytes = bytes;
+  Deliver(own, packet, aPort);
+}
+
+auto AgentRelay::Enqueue(WaitingOpening aOpening, RelayPort& aPort) -> void
+{
+  if (queue_.Contains(aOpening.flow)) {
+    queue_.Add(std::move(aOpening));
+    return;
+  }
+  const auto ahead = meter_.InFlight() + awaitedCount_ + queue_.Size();
+  const auto wait = ExpectedWait(ahead, meter_.Slots(), meter_.ServiceTime());
+  if (clock_.Now() + wait - aOpening.sentAt >= kOpeningGivenUp) {
+    GiveUp(aOpening, aPort);
+    return;
+  }
+  ++counters_.queued;
+  queue_.Add(std::move(aOpening));
+}
+
+auto AgentRelay::GiveUp(const WaitingOpening& aOpening, RelayPort& aPort)
+  -> void
+{
+  ++counters_.givenUp;
+  ++counters_.resets;
+  log_.Write(EventLevel::Warning,
+             Event("flow_refused")
+               .With("flow", ToText(aOpening.flow))
+               .With("cause", "overload")
+               .With("queued", queue_.Size())
+               .With("in_flight", meter_.InFlight())
+               .With("slots", meter_.Slots())
+               .With("service_us", meter_.ServiceTime().count())
+               .Text());
+  aPort.ResetCaller(aOpening.flow, 0);
+}
+
+auto AgentRelay::AdmitWaiting(RelayPort& aPort) -> void
+{
+  const auto now = clock_.Now();
+  while (!awaited_.empty() &&
+         now - awaited_.front().first >= kFirstRequestWithin) {
+    const auto found = flows_.find(awaited_.front().second);
+    if (found != flows_.end()) {
+      EndAwaiting(found->second);
+    }
+    awaited_.pop_front();
+  }
+  for (const auto& expired : queue_.TakeExpired(now)) {
+    GiveUp(expired, aPort);
+  }
+  while (queue_.Size() > 0 && HasRoom() && meter_.IsFit()) {
+    Admit(*queue_.Take(now, meter_.ServiceTime()), aPort);
+  }
+}
+
+auto AgentRelay::EndAwaiting(OwnFlow& aOwn) -> void
+{
+  if (aOwn.awaited) {
+    aOwn.awaited = false;
+    --awaitedCount_;
+  }
 }
 
 auto AgentRelay::Redirect(Packet& aPacket,
@@ -271,6 +373,15 @@
     Register(aPacket.flow, own);
   }
   NoteBackendData(own, aPacket);
+  if (aPacket.resets && own.phase != Phase::Finished) {
+    log_.Write(EventLevel::Warning,
+               Event("backend_reset_flow")
+                 .With("flow", ToText(aPacket.flow))
+                 .With("opened", own.phase == Phase::Open)
+                 .With("request_waiting", own.busy)
+                 .With("in_flight", meter_.InFlight())
+                 .Text());
+  }
   own.backendClosed |= aPacket.finishes;
   FinishIfOver(own, aPacket);
 }
@@ -281,6 +392,7 @@
   if (aPacket.opens) {
     openings_.erase(aPacket.flow);
     if (found != flows_.end() && found->second.phase == Phase::Opening) {
+      EndAwaiting(found->second);
       flows_.erase(found);
     }
     meter_.NoteRefused();
@@ -348,6 +460,7 @@
   }
   if (isNew && !aOwn.busy) {
     ++counters_.requests;
+    EndAwaiting(aOwn);
     aOwn.busy = true;
     aOwn.requestUnread = true;
     aOwn.requestBegan = clock_.Now();
@@ -421,6 +534,7 @@
 
 auto AgentRelay::Finish(OwnFlow& aOwn) -> void
 {
+  EndAwaiting(aOwn);
   if (aOwn.busy) {
     aOwn.busy = false;
     meter_.AbandonRequest();
@@ -479,6 +593,9 @@
 
 auto AgentRelay::Flush(RelayPort& aPort) -> void
 {
+  if (queue_.Size() > 0) {
+    AdmitWaiting(aPort);
+  }
   for (auto& [agent, flows] : registrations_) {
     for (std::size_t i = 0; i < flows.size(); i += kFlowsPerMessage) {
       const auto end = std::min(flows.size(), i + kFlowsPerMessage);
@@ -493,6 +610,7 @@
 
 auto AgentRelay::ExpireOpenings(RelayPort& aPort) -> void
 {
+  AdmitWaiting(aPort);
   const auto now = clock_.Now();
   for (auto entry = openings_.begin(); entry != openings_.end();) {
     if (now - entry->second.since < kOpeningWithin) {
@@ -503,7 +621,11 @@
     auto opening = std::move(entry->second);
     const auto flow = entry->first;
     entry = openings_.erase(entry);
-    flows_.erase(flow);
+    const auto found = flows_.find(flow);
+    if (found != flows_.end()) {
+      EndAwaiting(found->second);
+      flows_.erase(found);
+    }
     Packet packet;
     packet.flow = flow;
     packet.opens = true;
@@ -544,6 +666,7 @@
   BackendLoad report;
   meter_.Fill(report);
   report.service = init_.service;
+  report.inFlight += awaitedCount_ + static_cast<std::uint32_t>(queue_.Size());
   report.flows = static_cast<std::uint32_t>(flows_.size());
   const auto* own = state_.FindAgent(init_.self);
   report.draining = own && own->standing == TargetStanding::Leaving;
--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -7,6 +7,7 @@
 #include "core/event.h"
 #include "relay/backend_meter.h"
 #include "relay/content_reader.h"
+#include "relay/opening_queue.h"
 #include "relay/packet.h"
 #include "relay/search_order.h"
 
@@ -27,6 +28,8 @@
 {
   std::uint64_t delivered = 0; // packets to the backend server
   std::uint64_t toCallers = 0;
+  std::uint64_t queued = 0;     // first packets that had to wait
+  std::uint64_t givenUp = 0;    // ... and were refused after all
   std::uint64_t redirected = 0; // first packets passed on
   std::uint64_t followed = 0;   // later packets passed on by a record
   std::uint64_t searched = 0;   // later packets passed on without one
@@ -82,6 +85,7 @@
   {
     Phase phase = Phase::Opening;
     bool answered = false; // the backend server accepted the first packet
+    bool awaited = false;  // its first request is on its way
     bool busy = false;     // a request waits for its answer
     // Packets of one message may arrive in any order; its first line is logged
     // when it comes.
@@ -117,6 +121,15 @@
   auto OnFirstPacket(Packet& aPacket, RelayPort& aPort) -> void;
   auto OnLaterPacket(Packet& aPacket, RelayPort& aPort) -> void;
   auto OnReturned(Packet& aPacket, RelayPort& aPort) -> void;
+  auto Admit(const WaitingOpening& aOpening, RelayPort& aPort) -> void;
+  auto Enqueue(WaitingOpening aOpening, RelayPort& aPort) -> void;
+  // Opens waiting flows while the backend server has room.
+  auto AdmitWaiting(RelayPort& aPort) -> void;
+  auto GiveUp(const WaitingOpening& aOpening, RelayPort& aPort) -> void;
+  auto MakeWaiting(const Packet& aPacket, const RelayRoute& aRoute) const
+    -> WaitingOpening;
+  auto HasRoom() const -> bool;
+  auto EndAwaiting(OwnFlow& aOwn) -> void;
   // Why this agent's backend server may not open the flow; null: it may.
   auto Objection(const RelayRoute& aRoute) const -> const char*;
   auto Redirect(Packet& aPacket,
@@ -156,6 +169,10 @@
   boost::unordered_flat_map<FlowKey, OwnFlow, KeyHash> flows_;
   boost::unordered_flat_map<FlowKey, Record, KeyHash> records_;
   std::unordered_map<FlowKey, OpeningPacket, KeyHash> openings_;
+  OpeningQueue queue_;
+  // Opened flows whose first request is on its way, oldest first.
+  std::deque<std::pair<TimePoint, FlowKey>> awaited_;
+  std::uint32_t awaitedCount_ = 0;
   std::unordered_map<std::uint16_t, std::uint32_t> balancers_;
   std::map<Endpoint, std::vector<FlowKey>> registrations_;
   AgentCounters counters_;
--- a/src/relay/backend_meter.cpp
+++ b/src/relay/backend_meter.cpp
@@ -63,6 +63,14 @@
   inFlight_ -= inFlight_ > 0 ? 1 : 0;
 }
 
+auto BackendMeter::ServiceTime() const -> std::chrono::microseconds
+{
+  return serviceMicros_ == 0 ? kDefaultServiceTime
+                             : std::chrono::microseconds{
+                                 static_cast<std::int64_t>(serviceMicros_)
+                               };
+}
+
 auto BackendMeter::NoteOpened() -> void
 {
   unanswered_ = 0;
--- a/src/relay/backend_meter.h
+++ b/src/relay/backend_meter.h
@@ -14,6 +14,8 @@
   explicit BackendMeter(const Clock& aClock);
 
   auto SetSlots(std::uint32_t aSlots) -> void { slots_ = aSlots; }
+  auto Slots() const -> std::uint32_t { return slots_; }
+  auto ServiceTime() const -> std::chrono::microseconds;
 
   // @return the requests in flight before this one.
   auto BeginRequest() -> std::uint32_t;
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -58,6 +58,21 @@
 // A backend server answers a first packet within about a millisecond; after
 // this it is taken as not responding and another one is tried.
 constexpr Millis kOpeningWithin{ 60 };
+// Requests that a backend server is given at once: its slots twice over, and a
+// few that are on their way, keep it busy; its own queue holds four times its
+// slots, and beyond that it breaks requests off.
+constexpr std::uint32_t kRequestsPerSlot = 2;
+constexpr std::uint32_t kRequestsOnTheWay = 2;
+// An opened flow counts as such a request until its first request comes, at
+// most for this long.
+constexpr Millis kFirstRequestWithin{ 100 };
+// Callers give a first packet up after 1.4 s; it takes a round trip to open.
+constexpr Millis kOpeningGivenUp{ 1300 };
+// Callers send copies of a first packet after these times.
+constexpr Millis kFirstCopyAfter{ 200 };
+constexpr Millis kSecondCopyAfter{ 600 };
+// Latency objective of routes that state none.
+constexpr Millis kDefaultObjective{ 250 };
 // Agents that a first packet may visit.
 constexpr std::uint8_t kMaxOpeningHops = 6;
 // Agents that a later packet may visit while its flow is looked for.
--- a/src/relay/load_board.cpp
+++ b/src/relay/load_board.cpp
@@ -21,6 +21,7 @@
 {
   const auto now = clock_.Now();
   expected_.erase(aIp);
+  placedUnheard_.erase(aIp);
   auto [found, isNew] = peers_.try_emplace(aIp);
   auto& peer = found->second;
   const bool restarted = !isNew && peer.incarnation != aHeartbeat.incarnation;
@@ -48,6 +49,7 @@
 {
   const auto found = peers_.find(aIp);
   if (found == peers_.end()) {
+    ++placedUnheard_[aIp];
     return;
   }
   auto& peer = found->second;
@@ -57,6 +59,15 @@
   ++peer.placedSince;
 }
 
+auto LoadBoard::PlacedSince(std::uint32_t aIp) const -> std::uint32_t
+{
+  if (const auto* peer = Find(aIp)) {
+    return peer->placedSince;
+  }
+  const auto found = placedUnheard_.find(aIp);
+  return found == placedUnheard_.end() ? 0 : found->second;
+}
+
 auto LoadBoard::Find(std::uint32_t aIp) const -> const PeerView*
 {
   const auto found = peers_.find(aIp);
--- a/src/relay/load_board.h
+++ b/src/relay/load_board.h
@@ -35,6 +35,8 @@
   // A peer that ought to answer heartbeats from now on.
   auto Expect(std::uint32_t aIp) -> void;
   auto NotePlaced(std::uint32_t aIp) -> void;
+  // First packets sent there since its load was reported.
+  auto PlacedSince(std::uint32_t aIp) const -> std::uint32_t;
   auto Find(std::uint32_t aIp) const -> const PeerView*;
   // Expected or heard once, and silent since for several heartbeats; or did not
   // report its load after a first packet, as agents do at once.
@@ -58,6 +60,7 @@
   std::unordered_map<std::uint32_t, PeerView> peers_;
   // Peers never heard from, with the time since when they are expected.
   std::unordered_map<std::uint32_t, TimePoint> expected_;
+  std::unordered_map<std::uint32_t, std::uint32_t> placedUnheard_;
 };
 
 } // namespace damaskwalk
--- /dev/null
+++ b/src/relay/opening_queue.cpp
@@ -0,0 +1,67 @@
+#include "relay/opening_queue.h"
+
+#include "relay/limits.h"
+
+#include <algorithm>
+
+namespace damaskwalk {
+
+auto OpeningQueue::Add(WaitingOpening aOpening) -> void
+{
+  const auto found = std::ranges::find_if(
+    waiting_, [&](const auto& aEntry) { return aEntry.flow == aOpening.flow; });
+  if (found == waiting_.end()) {
+    waiting_.push_back(std::move(aOpening));
+    return;
+  }
+  found->bytes = std::move(aOpening.bytes);
+  found->tag = aOpening.tag;
+}
+
+auto OpeningQueue::Take(TimePoint aNow, std::chrono::microseconds aServiceTime)
+  -> std::optional<WaitingOpening>
+{
+  const auto rank = [&](const WaitingOpening& aEntry) {
+    const bool late = aNow + aServiceTime > aEntry.onTimeUntil;
+    return std::pair(late, aEntry.priority);
+  };
+  const auto best = std::ranges::min_element(waiting_, {}, rank);
+  if (best == waiting_.end()) {
+    return std::nullopt;
+  }
+  auto opening = std::move(*best);
+  waiting_.erase(best);
+  return opening;
+}
+
+auto OpeningQueue::TakeExpired(TimePoint aNow) -> std::vector<WaitingOpening>
+{
+  std::vector<WaitingOpening> expired;
+  std::erase_if(waiting_, [&](auto& aEntry) {
+    if (aNow - aEntry.sentAt < kOpeningGivenUp) {
+      return false;
+    }
+    expired.push_back(std::move(aEntry));
+    return true;
+  });
+  return expired;
+}
+
+auto OpeningQueue::Contains(const FlowKey& aFlow) const -> bool
+{
+  return std::ranges::any_of(
+    waiting_, [&](const auto& aEntry) { return aEntry.flow == aFlow; });
+}
+
+auto ExpectedWait(std::size_t aAhead,
+                  std::uint32_t aSlots,
+                  std::chrono::microseconds aServiceTime)
+  -> std::chrono::microseconds
+{
+  const auto slots = std::max<std::uint32_t>(aSlots, 1);
+  const double turns = std::max(0.0, (double(aAhead) + 1.0) / slots - 1.0);
+  return std::chrono::microseconds{ static_cast<std::int64_t>(
+    double(aServiceTime.count()) * (turns + 1.0)) };
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay/opening_queue.h
@@ -0,0 +1,57 @@
+#pragma once
+
+// First packets that wait until their backend server has room.
+//
+// Answers the surge after an outage and the burst of many callers at once: a
+// backend server that takes on more than its own queue holds breaks requests
+// off, so the excess waits here, where it can be ordered and refused cleanly.
+
+#include "core/clock.h"
+#include "relay/packet.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace damaskwalk {
+
+struct WaitingOpening
+{
+  FlowKey flow;
+  std::string bytes;
+  RelayTag tag;
+  // When the caller sent it first, as far as its copies tell.
+  TimePoint sentAt;
+  // When its answer stops being on time.
+  TimePoint onTimeUntil;
+  std::uint32_t priority = 0; // 0 is served first
+};
+
+// Single threaded.
+class OpeningQueue
+{
+public:
+  // Replaces an earlier copy of the same first packet, but keeps its times.
+  auto Add(WaitingOpening aOpening) -> void;
+  // The next one to open: the most urgent kind among those that can still be
+  // on time, oldest first; then the others, whose answer is late either way.
+  // @param aServiceTime of one request.
+  auto Take(TimePoint aNow, std::chrono::microseconds aServiceTime)
+    -> std::optional<WaitingOpening>;
+  // Removes those whose caller gives up before they could open.
+  auto TakeExpired(TimePoint aNow) -> std::vector<WaitingOpening>;
+  auto Contains(const FlowKey& aFlow) const -> bool;
+  auto Size() const -> std::size_t { return waiting_.size(); }
+
+private:
+  std::vector<WaitingOpening> waiting_; // in order of arrival
+};
+
+// Time until a first packet that arrives now would get its answer.
+// @param aAhead requests and first packets before it.
+auto ExpectedWait(std::size_t aAhead,
+                  std::uint32_t aSlots,
+                  std::chrono::microseconds aServiceTime)
+  -> std::chrono::microseconds;
+
+} // namespace damaskwalk
--- a/src/relay/packet.h
+++ b/src/relay/packet.h
@@ -49,6 +49,7 @@
   // The backend server refused the packet and handed it back unchanged.
   bool returned = false;
   std::uint32_t sequence = 0;
+  // Of a first packet: how many copies its caller sent before.
   std::uint32_t acknowledgement = 0;
   RelayTag tag;
   std::string_view payload;
--- a/src/relay/placement_expected_wait.cpp
+++ b/src/relay/placement_expected_wait.cpp
@@ -128,11 +128,10 @@
     -> microseconds
   {
     const auto* peer = load_.Find(aKnown.target.agent.ip);
+    const auto placed = load_.PlacedSince(aKnown.target.agent.ip);
     BackendLoad load;
-    std::uint32_t placed = 0;
     if (peer && peer->hasLoad) {
       load = peer->load;
-      placed = peer->placedSince;
     }
     load.slots = aKnown.target.slots;
     auto service =
--- a/src/relay_node/relay_metrics.cpp
+++ b/src/relay_node/relay_metrics.cpp
@@ -75,6 +75,12 @@
         "Packets to the backend server",
         counters.delivered);
   count("packets_to_callers_total", "Packets to callers", counters.toCallers);
+  count("openings_queued_total",
+        "First packets that waited for room",
+        counters.queued);
+  count("openings_given_up_total",
+        "First packets refused for lack of room",
+        counters.givenUp);
   count("flows_redirected_total",
         "First packets passed on to another agent",
         counters.redirected);
--- a/tests/relay_load_test.cpp
+++ b/tests/relay_load_test.cpp
@@ -5,6 +5,8 @@
 #include "relay_model.h"
 #include "test_support.h"
 
+#include <set>
+
 namespace damaskwalk {
 
 namespace {
@@ -33,4 +35,96 @@
   EXPECT_NEAR(ReportOf(model, 0).serviceMicros, 50000, 2000);
 }
 
+// Pattern: many callers at once after an outage, more than the backend servers'
+// own queues hold. None is broken off; all are served in time, or refused.
+TEST(RelayLoad, ASurgeWaitsAtTheAgents)
+{
+  RelayModel model({ 3, 1 }, 2);
+  model.SetQueueLimit(16);
+  std::vector<std::size_t> flows;
+  for (std::size_t i = 0; i < 200; ++i) {
+    flows.push_back(model.Open(0, i % 2));
+  }
+  std::set<std::size_t> asked;
+  for (int step = 0; step < 150; ++step) {
+    model.Run(Millis{ 10 });
+    for (const auto flow : flows) {
+      if (model.Flow(flow).open && asked.insert(flow).second) {
+        model.Ask(flow, flow % 2);
+      }
+    }
+  }
+  EXPECT_EQ(model.BrokenOff(), 0U);
+  for (const auto flow : flows) {
+    EXPECT_EQ(model.Flow(flow).answers, 1U);
+  }
+}
+
+TEST(RelayLoad, RefusesAtOnceWhatCannotOpenInTime)
+{
+  RelayModel model({ 1, 1 }, 1);
+  model.SetWork(0, Millis{ 400 });
+  for (std::size_t i = 0; i < 8; ++i) {
+    const auto flow = model.Open(0, 0);
+    model.Run(Millis{ 5 });
+    model.Ask(flow, 0);
+  }
+  model.Run(Millis{ 1000 }); // its service time is known now
+  std::vector<std::size_t> flows;
+  for (std::size_t i = 0; i < 60; ++i) {
+    flows.push_back(model.Open(0, 0));
+  }
+  model.Run(Millis{ 10 });
+  const auto refused = std::ranges::count_if(
+    flows, [&](std::size_t aFlow) { return model.Flow(aFlow).reset; });
+  EXPECT_GE(refused, 40);
+  EXPECT_LE(refused, 52);
+}
+
+// The order in the queue: urgent kinds that can be on time, others that can,
+// then those that are late either way.
+TEST(OpeningQueue, ServesTheUrgentAndThePunctualFirst)
+{
+  const TimePoint now{ std::chrono::seconds{ 10 } };
+  const auto entry =
+    [&](std::uint16_t aNumber, std::uint32_t aPriority, Millis aLeft) {
+      WaitingOpening opening;
+      opening.flow = FlowNumber(aNumber);
+      opening.sentAt = now;
+      opening.onTimeUntil = now + aLeft;
+      opening.priority = aPriority;
+      return opening;
+    };
+  OpeningQueue queue;
+  queue.Add(entry(1, 2, Millis{ -10 }));
+  queue.Add(entry(2, 2, Millis{ 100 }));
+  queue.Add(entry(3, 1, Millis{ 10 })); // would be late after 30 ms of work
+  queue.Add(entry(4, 1, Millis{ 100 }));
+  queue.Add(entry(5, 2, Millis{ 90 }));
+  std::vector<FlowKey> order;
+  while (const auto next = queue.Take(now, std::chrono::milliseconds{ 30 })) {
+    order.push_back(next->flow);
+  }
+  const std::vector<FlowKey> expected = {
+    FlowNumber(4), FlowNumber(2), FlowNumber(5), FlowNumber(3), FlowNumber(1)
+  };
+  EXPECT_EQ(order, expected);
+}
+
+// A copy of a waiting first packet neither doubles nor delays it.
+TEST(OpeningQueue, ACopyTakesItsPlace)
+{
+  const TimePoint now{ std::chrono::seconds{ 10 } };
+  OpeningQueue queue;
+  for (int i = 0; i < 3; ++i) {
+    WaitingOpening opening;
+    opening.flow = FlowNumber(1);
+    opening.sentAt = now + Millis{ i };
+    queue.Add(opening);
+  }
+  EXPECT_EQ(queue.Size(), 1U);
+  EXPECT_EQ(queue.TakeExpired(now + kOpeningGivenUp).size(), 1U);
+  EXPECT_EQ(queue.Size(), 0U);
+}
+
 } // namespace damaskwalk
--- a/tests/relay_model.cpp
+++ b/tests/relay_model.cpp
@@ -409,8 +409,11 @@
   if (target.busy < target.slots) {
     ++target.busy;
     run();
-  } else {
+  } else if (target.queue.size() < queueLimit_) {
     target.queue.push_back(run);
+  } else {
+    ++brokenOff_;
+    answer(MakePacket(kRst, flow.address, flow.caller, 0, 0, ""));
   }
 }
 
--- a/tests/relay_model.h
+++ b/tests/relay_model.h
@@ -87,6 +87,10 @@
   auto SetWork(std::size_t aTarget, Millis aWork) -> void;
   auto SetSlots(std::size_t aTarget, std::uint32_t aSlots) -> void;
 
+  // Requests that a backend server queues; beyond that it breaks flows off.
+  auto SetQueueLimit(std::size_t aLimit) -> void { queueLimit_ = aLimit; }
+  auto BrokenOff() const -> std::uint32_t { return brokenOff_; }
+
   auto Targets() const -> std::size_t { return targets_.size(); }
   auto TargetIp(std::size_t aTarget) const -> std::uint32_t;
   auto Agent(std::size_t aTarget) -> AgentRelay&;
@@ -137,6 +141,8 @@
   std::uint64_t order_ = 0;
   std::uint64_t revision_ = 1;
   std::uint64_t lives_ = 1;
+  std::size_t queueLimit_ = 1000000;
+  std::uint32_t brokenOff_ = 0;
   std::uint32_t foreign_ = 0;
   std::uint32_t longestPath_ = 0;
   std::uint16_t nextPort_ = 1000;
