Refuse a first packet only when its route's time would pass while it waits

A first packet whose caller gives up after 1.4 s is not lost: the next try comes by itself. Now refused: what would wait past its route's timeout. What its caller has given up is dropped from the queue.

--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -107,6 +107,9 @@
   opening.tag = aPacket.tag;
   opening.sentAt = clock_.Now() - age;
   opening.onTimeUntil = opening.sentAt + objective;
+  opening.usefulUntil =
+    opening.sentAt +
+    (aRoute.timeout.count() > 0 ? aRoute.timeout : kOpeningGivenUp);
   opening.priority = aRoute.priority;
   return opening;
 }
@@ -143,7 +146,7 @@
   }
   const auto ahead = meter_.InFlight() + awaitedCount_ + queue_.Size();
   const auto wait = ExpectedWait(ahead, meter_.Slots(), meter_.ServiceTime());
-  if (clock_.Now() + wait - aOpening.sentAt >= kOpeningGivenUp) {
+  if (clock_.Now() + wait >= aOpening.usefulUntil) {
     GiveUp(aOpening, aPort);
     return;
   }
@@ -179,9 +182,7 @@
     }
     awaited_.pop_front();
   }
-  for (const auto& expired : queue_.TakeExpired(now)) {
-    GiveUp(expired, aPort);
-  }
+  counters_.expired += queue_.DropExpired(now);
   while (queue_.Size() > 0 && HasRoom() && meter_.IsFit()) {
     Admit(*queue_.Take(now, meter_.ServiceTime()), aPort);
   }
--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -29,7 +29,8 @@
   std::uint64_t delivered = 0; // packets to the backend server
   std::uint64_t toCallers = 0;
   std::uint64_t queued = 0;     // first packets that had to wait
-  std::uint64_t givenUp = 0;    // ... and were refused after all
+  std::uint64_t expired = 0;    // ... until their caller gave them up
+  std::uint64_t givenUp = 0;    // ... too long to be of use, and were refused
   std::uint64_t redirected = 0; // first packets passed on
   std::uint64_t followed = 0;   // later packets passed on by a record
   std::uint64_t searched = 0;   // later packets passed on without one
--- a/src/relay/opening_queue.cpp
+++ b/src/relay/opening_queue.cpp
@@ -34,17 +34,12 @@
   return opening;
 }
 
-auto OpeningQueue::TakeExpired(TimePoint aNow) -> std::vector<WaitingOpening>
+auto OpeningQueue::DropExpired(TimePoint aNow) -> std::size_t
 {
-  std::vector<WaitingOpening> expired;
-  std::erase_if(waiting_, [&](auto& aEntry) {
-    if (aNow - aEntry.sentAt < kOpeningGivenUp) {
-      return false;
-    }
-    expired.push_back(std::move(aEntry));
-    return true;
+  return std::erase_if(waiting_, [aNow](const auto& aEntry) {
+    return aNow >= aEntry.usefulUntil ||
+           aNow - aEntry.sentAt >= kOpeningGivenUp;
   });
-  return expired;
 }
 
 auto OpeningQueue::Contains(const FlowKey& aFlow) const -> bool
--- a/src/relay/opening_queue.h
+++ b/src/relay/opening_queue.h
@@ -22,8 +22,9 @@
   RelayTag tag;
   // When the caller sent it first, as far as its copies tell.
   TimePoint sentAt;
-  // When its answer stops being on time.
+  // When its answer stops being on time, and when it is of no more use.
   TimePoint onTimeUntil;
+  TimePoint usefulUntil;
   std::uint32_t priority = 0; // 0 is served first
 };
 
@@ -38,8 +39,9 @@
   // @param aServiceTime of one request.
   auto Take(TimePoint aNow, std::chrono::microseconds aServiceTime)
     -> std::optional<WaitingOpening>;
-  // Removes those whose caller gives up before they could open.
-  auto TakeExpired(TimePoint aNow) -> std::vector<WaitingOpening>;
+  // Drops those that their caller has given up; it tries again on its own.
+  // @return how many.
+  auto DropExpired(TimePoint aNow) -> std::size_t;
   auto Contains(const FlowKey& aFlow) const -> bool;
   auto Size() const -> std::size_t { return waiting_.size(); }
 
--- a/src/relay_node/relay_metrics.cpp
+++ b/src/relay_node/relay_metrics.cpp
@@ -78,8 +78,11 @@
   count("openings_queued_total",
         "First packets that waited for room",
         counters.queued);
+  count("openings_expired_total",
+        "First packets that waited until their caller gave up",
+        counters.expired);
   count("openings_given_up_total",
-        "First packets refused for lack of room",
+        "First packets refused because their wait would be too long",
         counters.givenUp);
   count("flows_redirected_total",
         "First packets passed on to another agent",
--- a/tests/relay_load_test.cpp
+++ b/tests/relay_load_test.cpp
@@ -60,7 +60,7 @@
   }
 }
 
-TEST(RelayLoad, RefusesAtOnceWhatCannotOpenInTime)
+TEST(RelayLoad, RefusesAtOnceWhatCannotBeOfUse)
 {
   RelayModel model({ 1, 1 }, 1);
   model.SetWork(0, Millis{ 400 });
@@ -120,10 +120,11 @@
     WaitingOpening opening;
     opening.flow = FlowNumber(1);
     opening.sentAt = now + Millis{ i };
+    opening.usefulUntil = now + 2 * kOpeningGivenUp;
     queue.Add(opening);
   }
   EXPECT_EQ(queue.Size(), 1U);
-  EXPECT_EQ(queue.TakeExpired(now + kOpeningGivenUp).size(), 1U);
+  EXPECT_EQ(queue.DropExpired(now + kOpeningGivenUp), 1U);
   EXPECT_EQ(queue.Size(), 0U);
 }
 
