--- /dev/null
+++ b/tests/relay_state_test.cpp
@@ -0,0 +1,347 @@
+// What relays believe: versions, lapses, ages, who reads the store, and the
+// messages that spread it.
+
+#include "relay/limits.h"
+#include "relay/load_board.h"
+#include "relay/peer_messages.h"
+#include "relay/placement.h"
+#include "relay/read_schedule.h"
+#include "test_support.h"
+
+#include <algorithm>
+
+namespace damaskwalk {
+
+namespace {
+
+auto Target(std::uint16_t aNumber, TargetState aState = TargetState::Ready)
+  -> RelayTarget
+{
+  RelayTarget target;
+  target.id = "t" + std::to_string(aNumber);
+  target.service = ServiceIdOf("s");
+  target.agent = Agent(aNumber);
+  target.agent.ip += aNumber;
+  target.failureDomain = aNumber % 2 == 0 ? "even" : "odd";
+  target.slots = 4;
+  target.state = aState;
+  return target;
+}
+
+auto SetOf(std::uint64_t aRevision, std::vector<RelayTarget> aTargets)
+  -> TargetSet
+{
+  return { aRevision, std::move(aTargets) };
+}
+
+auto StandingOf(const FleetState& aState, std::uint16_t aNumber)
+  -> TargetStanding
+{
+  const auto* known = aState.FindId("t" + std::to_string(aNumber));
+  EXPECT_NE(known, nullptr);
+  return known ? known->standing : TargetStanding::Gone;
+}
+
+} // namespace
+
+TEST(FleetState, VersionsOnlyRise)
+{
+  const ManualClock clock;
+  FleetState state(clock);
+  EXPECT_TRUE(state.OfferRoutes({ 5, {}, {} }));
+  EXPECT_FALSE(state.OfferRoutes({ 5, {}, {} }));
+  EXPECT_FALSE(state.OfferRoutes({ 4, {}, {} }));
+  EXPECT_TRUE(state.OfferTargets(SetOf(10, { Target(1) }), Millis{ 0 }));
+  EXPECT_FALSE(state.OfferTargets(SetOf(9, {}), Millis{ 0 }));
+  EXPECT_EQ(state.Known().size(), 1U);
+}
+
+// Pattern: registrations lapse while the store is away and come back.
+TEST(FleetState, ALapsedTargetIsGoneOnlyAfterItsGrace)
+{
+  ManualClock clock;
+  FleetState state(clock);
+  state.OfferTargets(SetOf(1, { Target(1), Target(2) }), Millis{ 0 });
+  state.OfferTargets(SetOf(2, { Target(1) }), Millis{ 0 });
+  EXPECT_EQ(StandingOf(state, 2), TargetStanding::Vanished);
+  clock.Advance(kLapseGrace - Millis{ 100 });
+  state.Tick();
+  EXPECT_EQ(StandingOf(state, 2), TargetStanding::Vanished);
+  clock.Advance(Millis{ 200 });
+  EXPECT_TRUE(state.Tick());
+  EXPECT_EQ(StandingOf(state, 2), TargetStanding::Gone);
+  state.OfferTargets(SetOf(3, { Target(1), Target(2) }), Millis{ 0 });
+  EXPECT_EQ(StandingOf(state, 2), TargetStanding::Open);
+}
+
+TEST(FleetState, ADrainedTargetIsGoneAtOnce)
+{
+  const ManualClock clock;
+  FleetState state(clock);
+  state.OfferTargets(SetOf(1, { Target(1, TargetState::Draining), Target(2) }),
+                     Millis{ 0 });
+  EXPECT_EQ(StandingOf(state, 1), TargetStanding::Leaving);
+  state.OfferTargets(SetOf(2, { Target(2) }), Millis{ 0 });
+  EXPECT_EQ(StandingOf(state, 1), TargetStanding::Gone);
+}
+
+// Pattern: an address that was given up is used by another service.
+TEST(FleetState, AReusedAddressBelongsToItsNewService)
+{
+  const ManualClock clock;
+  FleetState state(clock);
+  state.OfferTargets(SetOf(1, { Target(1) }), Millis{ 0 });
+  auto reused = Target(1);
+  reused.id = "other";
+  reused.service = ServiceIdOf("other-service");
+  state.OfferTargets(SetOf(2, { reused }), Millis{ 0 });
+  EXPECT_EQ(state.FindAgent(reused.agent)->target.service, reused.service);
+  EXPECT_TRUE(state.OfService(ServiceIdOf("s")).empty());
+}
+
+TEST(FleetState, EqualTargetsConfirmEachOther)
+{
+  ManualClock clock;
+  FleetState state(clock);
+  FleetState other(clock);
+  state.OfferTargets(SetOf(1, { Target(1), Target(2) }), Millis{ 0 });
+  clock.Advance(Millis{ 700 });
+  other.OfferTargets(SetOf(9, { Target(2), Target(1) }), Millis{ 100 });
+  EXPECT_FALSE(other.Digest().IsNewerThan(state.Digest()));
+  state.Confirm(other.Digest());
+  EXPECT_EQ(*state.Age(), Millis{ 100 });
+  EXPECT_EQ(state.Digest().targets, 9U);
+}
+
+// Pattern: many keepers of one service; the reader dies, or is cut off.
+TEST(ReadSchedule, OneReadsAndTheNextTakesOver)
+{
+  ManualClock clock;
+  FleetState state(clock);
+  std::vector<RelayTarget> targets;
+  for (std::uint16_t i = 1; i <= 20; ++i) {
+    targets.push_back(Target(i));
+  }
+  state.OfferTargets(SetOf(1, targets), Millis{ 0 });
+  std::vector<std::uint32_t> ranks;
+  for (const auto& target : targets) {
+    ranks.push_back(ReaderRank(state, target.agent));
+  }
+  std::ranges::sort(ranks);
+  for (std::uint32_t i = 0; i < ranks.size(); ++i) {
+    EXPECT_EQ(ranks[i], i);
+  }
+  const ReadSchedule schedule(clock);
+  const auto due = [&](std::uint32_t aRank, Millis aAge) {
+    return schedule.IsDue(aRank, aAge);
+  };
+  EXPECT_TRUE(due(0, kStoreReadPeriod));
+  EXPECT_FALSE(due(1, kStoreReadPeriod + Millis{ 200 }));
+  EXPECT_TRUE(due(1, Millis{ 1100 }));
+  EXPECT_FALSE(due(5, Millis{ 1100 }));
+  EXPECT_TRUE(due(ReaderRank(state, Endpoint{}), Millis{ 2200 }));
+  EXPECT_TRUE(schedule.IsDue(7, std::nullopt));
+}
+
+TEST(ReadSchedule, ARefusedReaderWaits)
+{
+  ManualClock clock;
+  ReadSchedule schedule(clock);
+  schedule.NoteRead(false);
+  EXPECT_FALSE(schedule.IsDue(0, Millis{ 5000 }));
+  clock.Advance(kStoreRetry);
+  EXPECT_TRUE(schedule.IsDue(0, Millis{ 5000 }));
+}
+
+TEST(LoadBoard, AnAgentThatDoesNotReportIsSilentSoon)
+{
+  ManualClock clock;
+  LoadBoard board(clock);
+  RelayHeartbeat beat;
+  beat.role = RelayRole::Agent;
+  beat.load.emplace_back();
+  EXPECT_TRUE(board.Hear(1, beat));
+  EXPECT_FALSE(board.Hear(1, beat));
+  board.NotePlaced(1);
+  clock.Advance(kReportWithin + Millis{ 1 });
+  EXPECT_TRUE(board.IsSilent(1));
+  board.Hear(1, beat);
+  EXPECT_FALSE(board.IsSilent(1));
+  clock.Advance(kSilentHeartbeats * kRelayHeartbeat + Millis{ 1 });
+  EXPECT_TRUE(board.IsSilent(1));
+  beat.incarnation = 2;
+  EXPECT_TRUE(board.Hear(1, beat));
+}
+
+TEST(LoadBoard, APeerThatNeverAnswersIsSilent)
+{
+  ManualClock clock;
+  LoadBoard board(clock);
+  EXPECT_FALSE(board.IsSilent(1));
+  board.Expect(1);
+  EXPECT_FALSE(board.IsSilent(1));
+  clock.Advance(kSilentHeartbeats * kRelayHeartbeat + Millis{ 1 });
+  EXPECT_TRUE(board.IsSilent(1));
+}
+
+// Pattern: backend servers of uneven speed and load; farther ones are taken
+// only when they save time.
+class ExpectedWaitTest : public ::testing::Test
+{
+protected:
+  ExpectedWaitTest()
+    : state_(clock_)
+    , load_(clock_)
+    , placement_(
+        MakePlacementExpectedWait({ "even", 1 }, state_, load_, clock_))
+  {
+    std::vector<RelayTarget> targets;
+    for (std::uint16_t i = 1; i <= 4; ++i) {
+      targets.push_back(Target(i));
+      Report(i, 20000, 0);
+    }
+    state_.OfferTargets(SetOf(1, targets), Millis{ 0 });
+  }
+
+  auto Report(std::uint16_t aNumber,
+              std::uint32_t aServiceMicros,
+              std::uint32_t aInFlight,
+              bool aFit = true) -> void
+  {
+    RelayHeartbeat beat;
+    beat.role = RelayRole::Agent;
+    BackendLoad load;
+    load.service = ServiceIdOf("s");
+    load.slots = 4;
+    load.serviceMicros = aServiceMicros;
+    load.inFlight = aInFlight;
+    load.fit = aFit;
+    beat.load.push_back(load);
+    load_.Hear(Target(aNumber).agent.ip, beat);
+  }
+
+  auto Share(std::uint16_t aNumber) -> double
+  {
+    int hits = 0;
+    for (std::uint16_t i = 0; i < 400; ++i) {
+      const auto choice =
+        placement_->Choose(ServiceIdOf("s"), FlowNumber(i), Endpoint{});
+      hits += choice.agent == Target(aNumber).agent ? 1 : 0;
+    }
+    return hits / 400.0;
+  }
+
+  ManualClock clock_;
+  FleetState state_;
+  LoadBoard load_;
+  std::unique_ptr<FirstPacketPlacement> placement_;
+};
+
+TEST_F(ExpectedWaitTest, StaysInItsFailureDomain)
+{
+  EXPECT_EQ(Share(1) + Share(3), 0);
+  EXPECT_GT(Share(2), 0.0);
+}
+
+TEST_F(ExpectedWaitTest, GoesFartherWhenThatIsFaster)
+{
+  Report(2, 20000, 12);
+  Report(4, 20000, 12);
+  EXPECT_EQ(Share(2) + Share(4), 0);
+}
+
+TEST_F(ExpectedWaitTest, PrefersTheFasterServer)
+{
+  Report(2, 60000, 0);
+  Report(4, 18000, 0);
+  EXPECT_EQ(Share(2), 0);
+}
+
+TEST_F(ExpectedWaitTest, SpreadsByItsOwnChoicesBetweenReports)
+{
+  std::map<Endpoint, int> hits;
+  for (std::uint16_t i = 0; i < 40; ++i) {
+    const auto choice =
+      placement_->Choose(ServiceIdOf("s"), FlowNumber(i), Endpoint{});
+    load_.NotePlaced(choice.agent.ip);
+    ++hits[choice.agent];
+  }
+  EXPECT_EQ(hits.size(), 4U);
+}
+
+TEST_F(ExpectedWaitTest, TakesAnUnfitServerOnlyWhenThereIsNoOther)
+{
+  Report(2, 20000, 0, false);
+  Report(4, 20000, 0, false);
+  EXPECT_EQ(Share(2) + Share(4), 0);
+  Report(1, 20000, 0, false);
+  Report(3, 20000, 0, false);
+  EXPECT_GT(Share(1), 0);
+}
+
+TEST(PeerMessages, ComeBackAsTheyWere)
+{
+  FlowRegistration registration{ Agent(1), { FlowNumber(1), FlowNumber(2) } };
+  const auto bytes = EncodePeerMessage({ registration });
+  boost::leaf::try_handle_all(
+    [&]() -> boost::leaf::result<void> {
+      BOOST_LEAF_AUTO(message, DecodePeerMessage(bytes));
+      const auto& got = std::get<FlowRegistration>(message.body);
+      EXPECT_EQ(got.agent, registration.agent);
+      EXPECT_EQ(got.flows, registration.flows);
+      return {};
+    },
+    [] { FAIL() << "refused"; });
+  StateReply reply;
+  reply.targets.push_back(SetOf(3, { Target(1), Target(2) }));
+  RouteTable table{ 4, Millis{ 15000 }, {} };
+  table.routes.emplace_back();
+  table.routes.back().services.push_back({ ServiceIdOf("s"), 3 });
+  reply.routes.push_back(table);
+  boost::leaf::try_handle_all(
+    [&]() -> boost::leaf::result<void> {
+      BOOST_LEAF_AUTO(got, DecodeStateReply(EncodeStateReply(reply)));
+      EXPECT_EQ(got.targets.front().Hash(), reply.targets.front().Hash());
+      EXPECT_EQ(got.routes.front().routes.front().services.front().weight, 3U);
+      return {};
+    },
+    [] { FAIL() << "refused"; });
+}
+
+TEST(PeerMessages, SurviveAnyBytes)
+{
+  Holds("peer messages of any bytes", [] {
+    auto bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+    if (!bytes.empty() && *rc::gen::arbitrary<bool>()) {
+      bytes[0] = 1;
+    }
+    const auto refused = [](auto aDecode) {
+      return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<bool> {
+          BOOST_LEAF_CHECK(aDecode());
+          return false;
+        },
+        [] { return true; });
+    };
+    refused([&] { return DecodePeerMessage(bytes); });
+    refused([&] { return DecodeStateRequest(bytes); });
+    refused([&] { return DecodeStateReply(bytes); });
+  });
+}
+
+TEST(PeerMessages, ACutMessageIsRefused)
+{
+  const auto whole =
+    EncodePeerMessage({ FlowLocation{ FlowNumber(1), Agent(2) } });
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    const bool refused = boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<bool> {
+        BOOST_LEAF_CHECK(DecodePeerMessage({ whole.data(), size }));
+        return false;
+      },
+      [] { return true; });
+    EXPECT_TRUE(refused) << size;
+  }
+}
+
+} // namespace damaskwalk
