Add a fault soak of the relay programs

Kills, pauses, stops, herds, reloads, crashes, drains, route changes and five ways of a bad store come in series and overlap. Checked from outside: no packet changed, none at a foreign service, no reset of a held flow in calm, no first packet at a drained server, exit code 0 on SIGTERM, every held flow answers and new ones open after the faults.

--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,256 @@
+"""Stand-ins for the soak: the store, backend servers, callers and routers.
+
+Everything runs in one asyncio loop on loopback addresses of its own. Packets
+carry a checksum of what relays must not touch.
+"""
+
+import asyncio
+import base64
+import json
+import struct
+import zlib
+
+PACKETS, READY, PEERS, OUTBOUND, APP, STORE = 18172, 18167, 17720, 18162, 18165, 18169
+SYN, ACK, FIN, RST, BACK = 32, 128, 64, 2, 8
+HEAD = struct.Struct(">BBIIIIHH4s4sH")
+CALLER_IP = "127.0.40.1"
+STORE_IP = "127.0.30.1"
+
+
+def pack(flags, src, dst, seq, ack, data=b""):
+    body = (flags, seq, ack, src, dst, data)
+    total = zlib.crc32(repr(body).encode())
+    return HEAD.pack(flags, 0, seq, ack, total, 0, len(data), dst[1], ip_bytes(dst[0]),
+                     ip_bytes(src[0]), src[1]) + data
+
+
+def ip_bytes(text):
+    return bytes(int(part) for part in text.split("."))
+
+
+class Packet:
+    """A decoded packet; `sound` is False when anything but the tag changed."""
+
+    def __init__(self, raw):
+        (self.flags, self.pad, self.seq, self.ack, total, self.echo, size, dport, dst, src,
+         sport) = HEAD.unpack(raw[:HEAD.size])
+        self.raw, self.data = raw, raw[HEAD.size:]
+        self.src = (".".join(map(str, src)), sport)
+        self.dst = (".".join(map(str, dst)), dport)
+        clean = (self.flags & ~BACK, self.seq, self.ack, self.src, self.dst, self.data)
+        self.own_reset = self.flags == RST and total == 0
+        self.sound = size == len(self.data) and (
+            self.own_reset or total == zlib.crc32(repr(clean).encode()))
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    def __init__(self, handler):
+        self.handler = handler
+
+    def datagram_received(self, data, addr):
+        self.handler(data, addr)
+
+    def error_received(self, exc):
+        pass
+
+
+async def udp(address, handler):
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(lambda: Datagrams(handler),
+                                                       local_addr=address)
+    return transport
+
+
+class Store:
+    """The platform's store, read over HTTP through one proxy a node."""
+
+    def __init__(self):
+        self.revision, self.items, self.mode = 1, {}, {}
+
+    def put(self, key, value):
+        self.revision += 1
+        self.items[key] = (json.dumps(value).encode(), self.revision)
+
+    def delete(self, key):
+        if self.items.pop(key, None):
+            self.revision += 1
+
+    def answer(self, target):
+        path, _, query = target.partition("?")
+        args = dict(pair.split("=", 1) for pair in query.split("&") if pair)
+        if path == "/v1/kv-range":
+            items = [self.item(key) for key in sorted(self.items)
+                     if key.startswith(args["prefix"]) and key > args.get("after", "")]
+            return 200, {"items": items, "truncated": False, "asOf": self.revision}
+        if path == "/v1/kv-key":
+            if args["key"] not in self.items:
+                return 404, {}
+            return 200, {**self.item(args["key"]), "asOf": self.revision}
+        if path == "/v1/kv-watch":
+            events = [self.item(key) for key, (_, revision) in self.items.items()
+                      if key.startswith(args["prefix"]) and revision > int(args["after"])]
+            return 200, {"events": events, "asOf": self.revision}
+        return 404, {}
+
+    def item(self, key):
+        value, revision = self.items[key]
+        return {"key": key, "value": base64.b64encode(value).decode(), "revision": revision,
+                "created": revision, "lease": 0}
+
+    async def serve(self, ip, reader, writer):
+        """One connection of the node at `ip`; its mode is looked up at each call."""
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                mode = self.mode.get(ip, "ok")
+                if mode == "reset":
+                    writer.transport.abort()
+                    return
+                if mode == "silent":
+                    await asyncio.sleep(30)
+                    return
+                if mode == "slow":
+                    await asyncio.sleep(0.3)
+                status, body = (503, {}) if mode == "busy" else self.answer(
+                    head.split(b" ")[1].decode())
+                text = json.dumps(body).encode()
+                writer.write(b"HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n" %
+                             (status, len(text)) + text)
+                if mode == "one_way":
+                    await asyncio.sleep(30)
+                    return
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def listen_for(self, ip, port):
+        await asyncio.start_server(lambda r, w: self.serve(ip, r, w), STORE_IP, port)
+
+
+class Backend:
+    """A backend server: one service, its flows, and its registration."""
+
+    def __init__(self, world, ip, service, zone):
+        self.world, self.ip, self.service, self.zone = world, ip, service, zone
+        self.number, self.alive, self.transport = 0, False, None
+
+    async def start(self):
+        self.number += 1
+        self.id = f"{self.ip}-{self.number}"
+        self.alive, self.draining = True, False
+        self.half, self.flows, self.ended = {}, set(), set()
+        self.transport = await udp((self.ip, APP), self.receive)
+        self.register()
+
+    def register(self):
+        self.world.store.put(f"servers/{self.id}", {
+            "service": self.service, "address": f"{self.ip}:{APP}", "zone": self.zone,
+            "version": "v1", "slots": 4, "state": "draining" if self.draining else "ready",
+            "coldMs": 0, "seq": self.number, "born": self.number})
+
+    def drain(self):
+        self.draining, self.drained_at = True, self.world.now()
+        self.register()
+
+    def crash(self):
+        self.alive = False
+        self.flows.clear()
+        self.half.clear()
+        self.transport.close()
+        self.world.later(2.0, lambda key=f"servers/{self.id}": self.world.store.delete(key))
+
+    def send(self, raw):
+        self.transport.sendto(raw, (self.ip, OUTBOUND))
+
+    def receive(self, raw, addr):
+        world, packet = self.world, Packet(raw)
+        flow = (packet.src, packet.dst)
+        if not packet.sound:
+            world.fail("a backend server got a changed packet")
+        if world.service_of(packet.dst) not in (self.service, None):
+            world.fail(f"{self.service} got a packet for {packet.dst}")
+        if packet.flags & SYN:
+            if (self.draining and world.now() - self.drained_at > world.DRAIN_BOUND
+                    and world.is_calm(self.ip, world.DRAIN_BOUND)):
+                world.fail(f"{self.id} got a first packet after it drained")
+            seq = self.half.setdefault(flow, world.random.getrandbits(31))
+            self.send(pack(SYN | ACK, packet.dst, packet.src, seq, packet.seq + 1))
+            return
+        if flow not in self.flows and self.half.get(flow, -9) + 1 == packet.ack:
+            self.flows.add(flow)
+            world.opened(flow, self)
+        if flow not in self.flows:
+            if flow in self.ended:
+                return
+            self.send(bytes([raw[0] | BACK, 0]) + raw[2:])
+            return
+        if packet.flags & FIN:
+            self.flows.discard(flow)
+            self.ended.add(flow)
+            self.send(pack(FIN | ACK, packet.dst, packet.src, packet.ack, packet.seq + 1))
+        elif packet.data:
+            asyncio.get_running_loop().call_later(
+                0.005, self.reply, flow, packet.ack, packet.seq + len(packet.data), packet.data)
+
+    def reply(self, flow, seq, ack, data):
+        if self.alive and flow in self.flows:
+            self.send(pack(ACK, flow[1], flow[0], seq, ack,
+                           b"HTTP/1.1 200 OK\r\n\r\n" + data[:40]))
+
+
+class Caller:
+    """One flow that is kept open and asked on again and again."""
+
+    def __init__(self, world, port, address):
+        self.world, self.key = world, ((CALLER_IP, port), address)
+        self.state, self.seq, self.ack, self.waiting = "opening", 1000, 0, None
+        self.asked, self.answered = 0, 0
+
+    def send(self, flags, data=b"", seq=None, ack=None):
+        edge = self.world.route(self.key)
+        if edge:
+            raw = pack(flags, *self.key, self.seq if seq is None else seq,
+                       self.ack if ack is None else ack, data)
+            self.world.caller_socket.sendto(raw, (edge, PACKETS))
+
+    async def run(self):
+        for copy, wait in enumerate((0.2, 0.4, 0.8)):
+            if self.state == "opening":
+                self.send(SYN, seq=self.seq - 1, ack=copy)
+                await asyncio.sleep(wait)
+        while self.state == "open" and not self.world.over:
+            await asyncio.sleep(self.world.random.uniform(0.05, 0.6))
+            await self.ask(self.world.PATIENCE)
+        if self.state == "opening":
+            self.state = "closed"
+
+    async def ask(self, patience):
+        """True when the answer came; sends again as the users' callers do."""
+        self.asked += 1
+        data = b"GET / HTTP/1.1\r\nX-Damaskwalk-Request-Id: %d-%d\r\n\r\n" % (
+            self.key[0][1], self.asked)
+        self.waiting, wait, begin = asyncio.Event(), 0.2, self.world.now()
+        while self.state == "open" and self.world.now() - begin < patience:
+            self.send(ACK, data)
+            try:
+                await asyncio.wait_for(self.waiting.wait(), wait)
+                self.seq += len(data)
+                return True
+            except asyncio.TimeoutError:
+                wait = min(1.6, wait * 2)
+        return False
+
+    def receive(self, packet):
+        if packet.flags & RST:
+            self.world.was_reset(self, packet)
+            self.state = "closed"
+        elif packet.flags & SYN:
+            if self.state == "opening":
+                self.state, self.ack = "open", packet.seq + 1
+                self.send(ACK)
+        elif packet.data and self.waiting and packet.ack > self.seq:
+            self.ack = packet.seq + len(packet.data)
+            self.answered += 1
+            self.waiting.set()
