Eject backend servers that break requests off or fail; explain from logs

Answers of 5xx counted only as a cost factor.

Three failures in a row, or a third of the last ten, eject a server for 1 to 8 s; then one first packet in 250 ms tries it, three good answers restore it. Ejections are ignored while less than half of the service would be left, and as a last resort. event=backend_ejected and backend_restored tell why.

--- a/include/damaskwalk/damaskwalk.h
+++ b/include/damaskwalk/damaskwalk.h
@@ -97,6 +97,17 @@
                   const std::string& aFlow,
                   const std::string& aRequestId) -> QueryResult;
 
+// What became of a request or a flow, from the logs of several processes.
+struct LogQuestion
+{
+  std::string request; // its id; or empty, and
+  std::string flow;    // "CALLER:PORT>ADDRESS:PORT" or the beginning of one
+};
+
+// @param aLogs texts of log files. @return event lines in order of time.
+auto ExplainLogs(const std::vector<std::string>& aLogs,
+                 const LogQuestion& aQuestion) -> std::vector<std::string>;
+
 // Addresses of the agents that a document names, to ask them all.
 auto ListAgents(std::string_view aText) -> std::vector<std::string>;
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -19,6 +19,7 @@
   damaskwalk status [--json] [--within=MS] ADDRESS...
   damaskwalk explain flow FLOW (--document=FILE | ADDRESS...)
   damaskwalk explain request ID (--document=FILE | ADDRESS...)
+  damaskwalk explain log (--request=ID | --flow=FLOW) LOG...
   damaskwalk call --fabric=ADDR [options] ADDRESS PATH
   damaskwalk (-h | --help)
   damaskwalk --version
@@ -28,6 +29,8 @@
   status   Show the version in force, members, flows, slots and queues.
   explain  Show where a flow goes and why, or what happened to a request, from
            the records of the processes asked. FLOW is CALLER:PORT>ADDRESS:PORT.
+           From log files of any processes: the story of one request or flow,
+           which may be given by its beginning.
   call     Make one request to a service's ADDRESS, as a caller does.
 
 Options:
@@ -40,6 +43,8 @@
   --caller=NAME     Caller's name [default: operator].
   --key=KEY         Idempotency key.
   --id=ID           Request id.
+  --request=ID      Request id, in logs.
+  --flow=FLOW       Flow, in logs.
   --deadline=MS     Deadline of the call [default: 3000].
   --events=N        Follow a feed until N events came [default: 0].
   --after=ID        Follow a feed from the event after this one.
@@ -166,6 +171,29 @@
   return found ? 0 : 1;
 }
 
+auto ExplainLog(const Options& aOptions) -> int
+{
+  damaskwalk::LogQuestion question;
+  if (aOptions.at("--request").isString()) {
+    question.request = aOptions.at("--request").asString();
+  } else {
+    question.flow = aOptions.at("--flow").asString();
+  }
+  std::vector<std::string> logs;
+  for (const auto& name : aOptions.at("LOG").asStringList()) {
+    std::string text;
+    if (!ReadFile(name, text)) {
+      return 1;
+    }
+    logs.push_back(std::move(text));
+  }
+  const auto story = damaskwalk::ExplainLogs(logs, question);
+  for (const auto& line : story) {
+    std::cout << line << "\n";
+  }
+  return story.empty() ? 1 : 0;
+}
+
 auto MakeCall(const Options& aOptions) -> int
 {
   damaskwalk::CallInit init;
@@ -210,6 +238,9 @@
     if (options.at("status").asBool()) {
       return Status(options);
     }
+    if (options.at("log").asBool()) {
+      return ExplainLog(options);
+    }
     if (options.at("explain").asBool()) {
       return Explain(options);
     }
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr const char* kFailing = "failing";
+
 // True when sequence number a lies at or after b, modulo 2^32.
 auto AtOrAfter(std::uint32_t aLeft, std::uint32_t aRight) -> bool
 {
@@ -49,7 +51,7 @@
   }
 }
 
-auto AgentRelay::Objection(const RelayRoute& aRoute) const -> const char*
+auto AgentRelay::Objection(const RelayRoute& aRoute) -> const char*
 {
   if (!aRoute.Allows(init_.service)) {
     return "other_service";
@@ -61,7 +63,14 @@
   if (own->standing == TargetStanding::Leaving) {
     return "draining";
   }
-  return meter_.IsFit() ? nullptr : "not_answering";
+  if (!meter_.IsFit()) {
+    return "not_answering";
+  }
+  if (meter_.IsFailing() && !meter_.TakeTrial() &&
+      !order_.NeedsFailing(init_.service)) {
+    return kFailing;
+  }
+  return nullptr;
 }
 
 auto AgentRelay::OnFirstPacket(Packet& aPacket, RelayPort& aPort) -> void
@@ -75,7 +84,10 @@
   if (!route) {
     return;
   }
-  if (const auto* objection = Objection(*route)) {
+  const auto* objection = Objection(*route);
+  // A server that fails some requests is better than none.
+  const bool lastResort = objection == kFailing && !NextChoice(aPacket, *route);
+  if (objection && !lastResort) {
     Redirect(aPacket, *route, objection, aPort);
     return;
   }
@@ -196,14 +208,21 @@
   }
 }
 
+auto AgentRelay::NextChoice(const Packet& aPacket,
+                            const RelayRoute& aRoute) const
+  -> std::optional<Endpoint>
+{
+  return aPacket.tag.hops < kMaxOpeningHops
+           ? order_.NextOpen(aRoute, aPacket.flow, init_.self)
+           : std::nullopt;
+}
+
 auto AgentRelay::Redirect(Packet& aPacket,
                           const RelayRoute& aRoute,
                           const char* aCause,
                           RelayPort& aPort) -> void
 {
-  const auto next = aPacket.tag.hops < kMaxOpeningHops
-                      ? order_.NextOpen(aRoute, aPacket.flow, init_.self)
-                      : std::nullopt;
+  const auto next = NextChoice(aPacket, aRoute);
   log_.Write(EventLevel::Info,
              Event("flow_redirected")
                .With("flow", ToText(aPacket.flow))
@@ -382,6 +401,10 @@
                  .With("request_waiting", own.busy)
                  .With("in_flight", meter_.InFlight())
                  .Text());
+    if (own.busy) {
+      ++counters_.failures;
+      NoteOutcome(true, "reset");
+    }
   }
   own.backendClosed |= aPacket.finishes;
   FinishIfOver(own, aPacket);
@@ -513,17 +536,36 @@
   aOwn.answerUnread = false;
   const bool failed = answer.status >= 500 || answer.notRun;
   counters_.failures += failed ? 1 : 0;
-  meter_.NoteAnswer(failed);
-  const auto took = aOwn.answerBegan - aOwn.requestBegan;
-  log_.Write(
-    failed ? EventLevel::Warning : EventLevel::Info,
-    Event("request_answered")
-      .With("flow", ToText(aPacket.flow))
-      .With("status", answer.status)
-      .With("not_run", answer.notRun)
-      .With("took_us",
-            std::chrono::duration_cast<std::chrono::microseconds>(took).count())
-      .Text());
+  NoteOutcome(failed, answer.notRun ? "not_run" : "error");
+  const auto took = std::chrono::duration_cast<std::chrono::microseconds>(
+    aOwn.answerBegan - aOwn.requestBegan);
+  if (observer_) {
+    observer_->OnAnswer(took);
+  }
+  log_.Write(failed ? EventLevel::Warning : EventLevel::Info,
+             Event("request_answered")
+               .With("flow", ToText(aPacket.flow))
+               .With("status", answer.status)
+               .With("not_run", answer.notRun)
+               .With("took_us", took.count())
+               .Text());
+}
+
+auto AgentRelay::NoteOutcome(bool aFailed, const char* aCause) -> void
+{
+  const bool before = meter_.IsFailing();
+  meter_.NoteAnswer(aFailed);
+  if (meter_.IsFailing() == before) {
+    return;
+  }
+  BackendLoad load;
+  meter_.Fill(load);
+  log_.Write(EventLevel::Warning,
+             Event(before ? "backend_restored" : "backend_ejected")
+               .With("cause", before ? "good_answers" : aCause)
+               .With("failure_per_mille", load.failurePerMille)
+               .With("in_flight", load.inFlight)
+               .Text());
 }
 
 auto AgentRelay::FinishIfOver(OwnFlow& aOwn, const Packet& aPacket) -> void
--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -41,6 +41,15 @@
   std::uint64_t failures = 0; // answers with a server error
 };
 
+// Told of every answer.
+class AnswerObserver
+{
+public:
+  virtual ~AnswerObserver() = default;
+  // @param aTook from the request's first packet to its answer's.
+  virtual auto OnAnswer(std::chrono::microseconds aTook) -> void = 0;
+};
+
 // Single threaded; no sockets, all time from the clock.
 class AgentRelay
 {
@@ -52,6 +61,12 @@
              const Clock& aClock,
              EventSink& aLog);
 
+  // @param aObserver outlives this.
+  auto SetObserver(AnswerObserver& aObserver) -> void
+  {
+    observer_ = &aObserver;
+  }
+
   // A caller's packet from a balancer or another agent.
   auto OnCallerPacket(Packet aPacket, RelayPort& aPort) -> void;
   // A packet that the backend server sent or handed back.
@@ -131,8 +146,11 @@
     -> WaitingOpening;
   auto HasRoom() const -> bool;
   auto EndAwaiting(OwnFlow& aOwn) -> void;
-  // Why this agent's backend server may not open the flow; null: it may.
-  auto Objection(const RelayRoute& aRoute) const -> const char*;
+  // Why this agent's backend server shall not open the flow; null: it may.
+  auto Objection(const RelayRoute& aRoute) -> const char*;
+  // Where a first packet goes that cannot open here; none at its last hop.
+  auto NextChoice(const Packet& aPacket, const RelayRoute& aRoute) const
+    -> std::optional<Endpoint>;
   auto Redirect(Packet& aPacket,
                 const RelayRoute& aRoute,
                 const char* aCause,
@@ -146,6 +164,7 @@
   auto NoteCallerData(OwnFlow& aOwn, const Packet& aPacket) -> void;
   auto NoteBackendData(OwnFlow& aOwn, const Packet& aPacket) -> void;
   auto ReadRequest(OwnFlow& aOwn, const Packet& aPacket) -> void;
+  auto NoteOutcome(bool aFailed, const char* aCause) -> void;
   auto ReadAnswer(OwnFlow& aOwn, const Packet& aPacket) -> void;
   auto FinishIfOver(OwnFlow& aOwn, const Packet& aPacket) -> void;
   auto Finish(OwnFlow& aOwn) -> void;
@@ -164,6 +183,7 @@
   const ContentReader& reader_;
   const Clock& clock_;
   EventSink& log_;
+  AnswerObserver* observer_ = nullptr;
   SearchOrder order_;
   BackendMeter meter_;
   TimePoint startedAt_;
--- a/src/relay/backend_meter.cpp
+++ b/src/relay/backend_meter.cpp
@@ -19,6 +19,7 @@
 BackendMeter::BackendMeter(const Clock& aClock)
   : clock_(aClock)
   , integratedAt_(aClock.Now())
+  , ejectNextFor_(kEjectedFor)
   , unfitUntil_(aClock.Now())
   , downUntil_(aClock.Now())
 {
@@ -41,7 +42,62 @@
 
 auto BackendMeter::NoteAnswer(bool aFailed) -> void
 {
+  ++answers_;
   failureShare_ += kFailureWeight * ((aFailed ? 1.0 : 0.0) - failureShare_);
+  if (aFailed) {
+    NoteFailure();
+  } else {
+    NoteSuccess();
+  }
+}
+
+auto BackendMeter::NoteFailure() -> void
+{
+  ++failuresInRow_;
+  successesInRow_ = 0;
+  const bool often =
+    answers_ >= kEjectSamples && failureShare_ > kEjectFailureShare;
+  if (ejected_ ? IsOnTrial() : failuresInRow_ >= kEjectAfterInRow || often) {
+    Eject();
+  }
+}
+
+auto BackendMeter::NoteSuccess() -> void
+{
+  failuresInRow_ = 0;
+  ++successesInRow_;
+  if (ejected_ && IsOnTrial() && successesInRow_ >= kTrialsToRestore) {
+    ejected_ = false;
+    restoredAt_ = clock_.Now();
+    failureShare_ = 0;
+    answers_ = 0;
+  }
+}
+
+auto BackendMeter::Eject() -> void
+{
+  const auto now = clock_.Now();
+  if (!ejected_ && now - restoredAt_ > kEjectedForMost) {
+    ejectNextFor_ = kEjectedFor;
+  }
+  ejected_ = true;
+  ejectedUntil_ = now + ejectNextFor_;
+  ejectNextFor_ = std::min(2 * ejectNextFor_, kEjectedForMost);
+}
+
+auto BackendMeter::IsOnTrial() const -> bool
+{
+  return ejected_ && clock_.Now() >= ejectedUntil_;
+}
+
+auto BackendMeter::TakeTrial() -> bool
+{
+  const auto now = clock_.Now();
+  if (!IsOnTrial() || now - lastTrial_ < kTrialSpacing) {
+    return false;
+  }
+  lastTrial_ = now;
+  return true;
 }
 
 auto BackendMeter::EndRequest(TimePoint aBegan, std::uint32_t aBefore) -> void
@@ -110,6 +166,8 @@
 {
   Integrate();
   aReport.fit = IsFit();
+  aReport.failing = ejected_;
+  aReport.onTrial = IsOnTrial();
   aReport.slots = slots_;
   aReport.inFlight = inFlight_;
   aReport.meanInFlightHundredths =
--- a/src/relay/backend_meter.h
+++ b/src/relay/backend_meter.h
@@ -26,6 +26,13 @@
   // The flow ended before the answer came.
   auto AbandonRequest() -> void;
 
+  // Ejected for its failures until it proves itself again.
+  auto IsFailing() const -> bool { return ejected_; }
+  // Ejected long enough to be tried by a first packet now and then.
+  auto IsOnTrial() const -> bool;
+  // @return true when this first packet may try it now.
+  auto TakeTrial() -> bool;
+
   // A first packet was answered, refused, or went without an answer.
   auto NoteOpened() -> void;
   auto NoteRefused() -> void;
@@ -42,6 +49,9 @@
 
 private:
   auto Integrate() -> void;
+  auto NoteFailure() -> void;
+  auto NoteSuccess() -> void;
+  auto Eject() -> void;
 
   const Clock& clock_;
   std::uint32_t slots_ = 1;
@@ -50,6 +60,14 @@
   TimePoint integratedAt_;
   double serviceMicros_ = 0; // 0: none measured
   double failureShare_ = 0;
+  std::uint32_t answers_ = 0;
+  std::uint32_t failuresInRow_ = 0;
+  std::uint32_t successesInRow_ = 0;
+  bool ejected_ = false;
+  TimePoint ejectedUntil_;
+  TimePoint restoredAt_;
+  TimePoint lastTrial_;
+  Millis ejectNextFor_;
   std::uint32_t unanswered_ = 0;
   TimePoint unfitUntil_;
   TimePoint downUntil_;
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -89,6 +89,24 @@
 // Older held packets have been sent again by their end.
 constexpr Millis kWaitingPacketKept{ 1000 };
 
+// Ejection of a backend server that answers badly while it looks healthy.
+// Three in a row, or a third of the last ten or so, are no accident.
+constexpr std::uint32_t kEjectAfterInRow = 3;
+constexpr double kEjectFailureShare = 0.3;
+constexpr std::uint32_t kEjectSamples = 10;
+// First ejection and the longest, after doubling at each new one.
+constexpr Millis kEjectedFor{ 1000 };
+constexpr Millis kEjectedForMost{ 8000 };
+// Then one first packet in this time tries it, and so many good answers in a
+// row restore it.
+constexpr Millis kTrialSpacing{ 250 };
+constexpr std::uint32_t kTrialsToRestore = 3;
+// Ejections are ignored while less than this share of a service would be left.
+constexpr double kLeastFitShare = 0.5;
+// Balancers send one in so many first packets of a service to a server on
+// trial.
+constexpr std::uint32_t kTrialOneIn = 50;
+
 // Placement. Crossing failure domains costs a round trip and bytes; a farther
 // backend server must save at least this much.
 constexpr std::chrono::microseconds kDomainCrossing{ 8000 };
--- a/src/relay/peer_messages.cpp
+++ b/src/relay/peer_messages.cpp
@@ -41,6 +41,8 @@
   aArchive(aValue.service,
            aValue.fit,
            aValue.draining,
+           aValue.failing,
+           aValue.onTrial,
            aValue.slots,
            aValue.inFlight,
            aValue.meanInFlightHundredths,
--- a/src/relay/peer_messages.h
+++ b/src/relay/peer_messages.h
@@ -27,6 +27,8 @@
   ServiceId service;
   bool fit = true; // answers first packets
   bool draining = false;
+  bool failing = false; // ejected: it answers, but badly
+  bool onTrial = false; // ... and may be tried again
   std::uint32_t slots = 1;
   std::uint32_t inFlight = 0; // requests without an answer
   // Requests without an answer, averaged over the last second, in hundredths.
--- a/src/relay/placement_expected_wait.cpp
+++ b/src/relay/placement_expected_wait.cpp
@@ -1,5 +1,6 @@
 #include "relay/limits.h"
 #include "relay/placement.h"
+#include "relay/search_order.h"
 
 #include <algorithm>
 
@@ -30,7 +31,8 @@
 enum class Preference : std::uint8_t
 {
   Fit,      // registered, heard, answering
-  Doubtful, // silent agent, lapsed registration, or not answering
+  Doubtful, // silent agent, lapsed registration, not answering, or failing
+  OnTrial,  // was failing; may be tried again
   Never,
 };
 
@@ -44,6 +46,7 @@
     : init_(aInit)
     , state_(aState)
     , load_(aLoad)
+    , order_(aState, aLoad)
     , clock_(aClock)
     , random_(aInit.seed)
   {
@@ -53,8 +56,12 @@
     -> PlacementChoice override
   {
     Sort(aService, aExcluded);
+    if (!onTrial_.empty() && random_() % kTrialOneIn == 0) {
+      return ChooseAny(onTrial_, "trial");
+    }
     if (near_.empty() && far_.empty()) {
-      return doubtful_.empty() ? PlacementChoice{} : ChooseDoubtful();
+      return doubtful_.empty() ? PlacementChoice{}
+                               : ChooseAny(doubtful_, "doubtful");
     }
     const auto mean = load_.MeanServiceTime(aService);
     PlacementChoice best;
@@ -70,12 +77,14 @@
     near_.clear();
     far_.clear();
     doubtful_.clear();
+    onTrial_.clear();
+    const bool needsFailing = order_.NeedsFailing(aService);
     for (const auto index : state_.OfService(aService)) {
       const auto& known = state_.Known()[index];
       if (known.target.agent == aExcluded) {
         continue;
       }
-      switch (PreferenceOf(known)) {
+      switch (PreferenceOf(known, needsFailing)) {
         case Preference::Fit:
           (known.target.failureDomain == init_.failureDomain ? near_ : far_)
             .push_back(&known);
@@ -83,13 +92,18 @@
         case Preference::Doubtful:
           doubtful_.push_back(&known);
           break;
+        case Preference::OnTrial:
+          onTrial_.push_back(&known);
+          doubtful_.push_back(&known);
+          break;
         default:
           break;
       }
     }
   }
 
-  auto PreferenceOf(const KnownTarget& aKnown) const -> Preference
+  auto PreferenceOf(const KnownTarget& aKnown, bool aNeedsFailing) const
+    -> Preference
   {
     if (aKnown.standing == TargetStanding::Leaving ||
         aKnown.standing == TargetStanding::Gone) {
@@ -97,12 +111,20 @@
     }
     const auto ip = aKnown.target.agent.ip;
     const auto* peer = load_.Find(ip);
-    const bool answering =
-      !peer || !peer->hasLoad || (peer->load.fit && !peer->load.draining);
-    return aKnown.standing == TargetStanding::Open && !load_.IsSilent(ip) &&
-               answering
-             ? Preference::Fit
-             : Preference::Doubtful;
+    if (aKnown.standing != TargetStanding::Open || load_.IsSilent(ip)) {
+      return Preference::Doubtful;
+    }
+    if (!peer || !peer->hasLoad) {
+      return Preference::Fit;
+    }
+    const auto& load = peer->load;
+    if (!load.fit || load.draining) {
+      return Preference::Doubtful;
+    }
+    if (!load.failing || aNeedsFailing) {
+      return Preference::Fit;
+    }
+    return load.onTrial ? Preference::OnTrial : Preference::Doubtful;
   }
 
   // Looks at a few random candidates of the list.
@@ -143,23 +165,24 @@
     return ExpectedAnswerTime(load, placed, service);
   }
 
-  auto ChooseDoubtful() -> PlacementChoice
+  auto ChooseAny(const std::vector<const KnownTarget*>& aList,
+                 const char* aCause) -> PlacementChoice
   {
-    std::uniform_int_distribution<std::size_t> pick(0, doubtful_.size() - 1);
-    return { doubtful_[pick(random_)]->target.agent,
-             kDefaultServiceTime,
-             "doubtful" };
+    std::uniform_int_distribution<std::size_t> pick(0, aList.size() - 1);
+    return { aList[pick(random_)]->target.agent, kDefaultServiceTime, aCause };
   }
 
   PlacementInit init_;
   const FleetState& state_;
   const LoadBoard& load_;
+  SearchOrder order_;
   const Clock& clock_;
   std::mt19937_64 random_;
   // Scratch lists, kept to save allocations.
   std::vector<const KnownTarget*> near_;
   std::vector<const KnownTarget*> far_;
   std::vector<const KnownTarget*> doubtful_;
+  std::vector<const KnownTarget*> onTrial_;
 };
 
 } // namespace
--- a/src/relay/search_order.cpp
+++ b/src/relay/search_order.cpp
@@ -1,6 +1,7 @@
 #include "relay/search_order.h"
 
 #include "core/rendezvous.h"
+#include "relay/limits.h"
 
 #include <limits>
 
@@ -137,11 +138,24 @@
   const auto ip = aKnown.target.agent.ip;
   const auto* peer = load_.Find(ip);
   const bool answering =
-    !peer || !peer->hasLoad || (peer->load.fit && !peer->load.draining);
+    !peer || !peer->hasLoad ||
+    (peer->load.fit && !peer->load.draining && !peer->load.failing);
   return aKnown.standing == TargetStanding::Open && answering &&
          !load_.IsSilent(ip);
 }
 
+auto SearchOrder::NeedsFailing(ServiceId aService) const -> bool
+{
+  std::size_t open = 0;
+  std::size_t fit = 0;
+  for (const auto index : state_.OfService(aService)) {
+    const auto& known = state_.Known()[index];
+    open += known.standing == TargetStanding::Open ? 1 : 0;
+    fit += TakesNewFlows(known) ? 1 : 0;
+  }
+  return double(fit) < kLeastFitShare * double(open);
+}
+
 auto SearchOrder::ViewOf(const RelayRoute& aRoute) const -> std::uint8_t
 {
   constexpr std::uint64_t kViewMask = 0x1F;
--- a/src/relay/search_order.h
+++ b/src/relay/search_order.h
@@ -39,6 +39,9 @@
   auto NextOpen(const RelayRoute& aRoute,
                 const FlowKey& aFlow,
                 const Endpoint& aAfter) const -> std::optional<Endpoint>;
+  // So few of the service's registered targets are fit that those that fail
+  // have to be used as well.
+  auto NeedsFailing(ServiceId aService) const -> bool;
   // Short hash of the agents that may hold flows of the route.
   auto ViewOf(const RelayRoute& aRoute) const -> std::uint8_t;
 
--- a/src/relay_node/relay_metrics.cpp
+++ b/src/relay_node/relay_metrics.cpp
@@ -1,5 +1,6 @@
 // Counters of a relay process in the Prometheus text format.
 
+#include "relay_node/answer_histogram.h"
 #include "relay_node/relay_process.h"
 
 #include <prometheus/metric_family.h>
@@ -22,6 +23,12 @@
     auto& metric = Add(aName, aHelp, prometheus::MetricType::Gauge);
     metric.gauge.value = aValue;
   }
+  auto Histogram(const char* aName,
+                 const char* aHelp,
+                 const prometheus::ClientMetric& aValue) -> void
+  {
+    Add(aName, aHelp, prometheus::MetricType::Histogram) = aValue;
+  }
   auto Text() const -> std::string
   {
     return prometheus::TextSerializer().Serialize(families_);
@@ -120,6 +127,9 @@
     AddBalancer(list, *balancer_);
   } else {
     AddAgent(list, *agent_);
+    list.Histogram("answer_seconds",
+                   "From a request's first packet to its answer's",
+                   answers_->Collect());
   }
   const auto digest = state_.Digest();
   list.Gauge("routes_version", "Configuration in force", double(digest.routes));
--- a/src/relay_node/relay_process.cpp
+++ b/src/relay_node/relay_process.cpp
@@ -1,6 +1,7 @@
 #include "relay_node/relay_process.h"
 
 #include "relay/limits.h"
+#include "relay_node/answer_histogram.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -75,6 +76,8 @@
       init_.reader,
       init_.clock,
       init_.log);
+    answers_ = std::make_unique<AnswerHistogram>();
+    agent_->SetObserver(*answers_);
     outboundSocket_ =
       std::make_unique<DatagramSocket>(init_.io, settings_.outbound);
     backendSocket_ = std::make_unique<DatagramSocket>(
--- a/src/relay_node/relay_process.h
+++ b/src/relay_node/relay_process.h
@@ -63,6 +63,8 @@
   boost::asio::io_context& io;
 };
 
+class AnswerHistogram;
+
 class RelayProcess final : public RelayPort
 {
 public:
@@ -135,6 +137,7 @@
   std::unique_ptr<FirstPacketPlacement> placement_;
   std::unique_ptr<BalancerRelay> balancer_;
   std::unique_ptr<AgentRelay> agent_;
+  std::unique_ptr<AnswerHistogram> answers_;
   std::uint64_t incarnation_;
 
   DatagramSocket packetSocket_;
--- a/src/runtime/daemon.cpp
+++ b/src/runtime/daemon.cpp
@@ -4,6 +4,7 @@
 
 #include "agent/agent.h"
 #include "balancer/balancer.h"
+#include "core/log_story.h"
 #include "runtime/caller_flow.h"
 #include "runtime/log.h"
 
@@ -11,6 +12,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <random>
@@ -146,6 +148,21 @@
   return agents;
 }
 
+auto ExplainLogs(const std::vector<std::string>& aLogs,
+                 const LogQuestion& aQuestion) -> std::vector<std::string>
+{
+  std::vector<LogLine> lines;
+  for (const auto& log : aLogs) {
+    std::ranges::move(ParseLogLines(log), std::back_inserter(lines));
+  }
+  std::vector<std::string> story;
+  for (auto& line :
+       TellStory(std::move(lines), { aQuestion.request, aQuestion.flow })) {
+    story.push_back(std::move(line.text));
+  }
+  return story;
+}
+
 auto QueryStatus(const QueryInit& aInit) -> QueryResult
 {
   return Ask(aInit, StatusQuery{});
--- a/tests/relay_load_test.cpp
+++ b/tests/relay_load_test.cpp
@@ -60,6 +60,64 @@
   }
 }
 
+namespace {
+
+// Opens flows one after the other and asks once on each.
+auto Offer(RelayModel& aModel, int aCount) -> void
+{
+  for (int i = 0; i < aCount; ++i) {
+    const auto flow = aModel.Open(0, std::size_t(i) % 2);
+    for (int wait = 0; wait < 20 && !aModel.Flow(flow).open; ++wait) {
+      aModel.Run(Millis{ 2 });
+    }
+    aModel.Ask(flow, std::size_t(i) % 2);
+    aModel.Run(Millis{ 2 });
+  }
+}
+
+} // namespace
+
+// Pattern: a server that breaks every request off looks idle and fast, and
+// would draw all the traffic while its health check is good.
+TEST(RelayLoad, AServerThatBreaksRequestsOffIsEjected)
+{
+  RelayModel model({ 6, 1 }, 2);
+  Offer(model, 50);
+  model.SetBreaking(2, 1.0);
+  Offer(model, 600);
+  EXPECT_LE(model.BrokenOff(), 20U);
+  // Once it is well again, trials bring it back.
+  model.SetBreaking(2, 0);
+  Offer(model, 1500);
+  const auto opened = model.Opened(2);
+  Offer(model, 300);
+  EXPECT_GT(model.Opened(2), opened + 20);
+}
+
+// Pattern: a server fails part of its requests.
+TEST(RelayLoad, AServerThatFailsNowAndThenIsEjected)
+{
+  RelayModel model({ 6, 1 }, 2);
+  model.SetBreaking(1, 0.4);
+  Offer(model, 600);
+  EXPECT_LE(model.BrokenOff(), 30U);
+}
+
+// Pattern: most of a service fails; ejecting it would overload the rest.
+TEST(RelayLoad, AServiceIsNeverEjectedWhole)
+{
+  RelayModel model({ 4, 1 }, 2);
+  for (std::size_t i = 0; i < 4; ++i) {
+    model.SetBreaking(i, 0.5);
+  }
+  Offer(model, 400);
+  std::uint32_t opened = 0;
+  for (std::size_t i = 0; i < 4; ++i) {
+    opened += model.Opened(i);
+  }
+  EXPECT_EQ(opened, 400U);
+}
+
 TEST(RelayLoad, RefusesAtOnceWhatCannotBeOfUse)
 {
   RelayModel model({ 1, 1 }, 1);
--- a/tests/relay_model.cpp
+++ b/tests/relay_model.cpp
@@ -155,6 +155,7 @@
   bool draining = false;
   bool alive = true;
   bool frozen = false;
+  double breaking = 0;
   std::uint64_t life = 1;
   std::uint32_t opened = 0;
   std::uint32_t busy = 0;
@@ -383,6 +384,12 @@
   if (packet->payload.empty()) {
     return;
   }
+  if (std::bernoulli_distribution(target.breaking)(random_)) {
+    target.flows.erase(flow);
+    ++brokenOff_;
+    answer(MakePacket(kRst, flow.address, flow.caller, 0, 0, ""));
+    return;
+  }
   const auto bytes = MakePacket(kAck,
                                 flow.address,
                                 flow.caller,
@@ -582,6 +589,11 @@
   targets_[aTarget]->registered = aRegistered;
 }
 
+auto RelayModel::SetBreaking(std::size_t aTarget, double aShare) -> void
+{
+  targets_[aTarget]->breaking = aShare;
+}
+
 auto RelayModel::SetWork(std::size_t aTarget, Millis aWork) -> void
 {
   targets_[aTarget]->work = aWork;
--- a/tests/relay_model.h
+++ b/tests/relay_model.h
@@ -84,6 +84,8 @@
   auto Publish() -> void;
   auto PublishTo(std::function<bool(std::uint32_t aIp)> aWho) -> void;
   auto SetLoss(double aShare) -> void { loss_ = aShare; }
+  // A server that breaks off this share of its requests at once.
+  auto SetBreaking(std::size_t aTarget, double aShare) -> void;
   auto SetWork(std::size_t aTarget, Millis aWork) -> void;
   auto SetSlots(std::size_t aTarget, std::uint32_t aSlots) -> void;
 
