Leave first packets that would wait too long to their copies

A copy follows by itself after 200 and 600 ms, so a first packet whose wait would be too long is left to it; the last copy is refused at once.

--- a/src/core/log_story.cpp
+++ b/src/core/log_story.cpp
@@ -136,6 +136,7 @@
     }
   }
   std::vector<LogLine> story;
+  story.reserve(before.size() + flows.size());
   for (auto& [node, line] : before) {
     story.push_back(std::move(line));
   }
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -123,6 +123,7 @@
     opening.sentAt +
     (aRoute.timeout.count() > 0 ? aRoute.timeout : kOpeningGivenUp);
   opening.priority = aRoute.priority;
+  opening.lastCopy = copies >= kFirstPacketCopies;
   return opening;
 }
 
@@ -159,20 +160,18 @@
   const auto ahead = meter_.InFlight() + awaitedCount_ + queue_.Size();
   const auto wait = ExpectedWait(ahead, meter_.Slots(), meter_.ServiceTime());
   if (clock_.Now() + wait >= aOpening.usefulUntil) {
-    GiveUp(aOpening, aPort);
+    DeferOrRefuse(aOpening, aPort);
     return;
   }
   ++counters_.queued;
   queue_.Add(std::move(aOpening));
 }
 
-auto AgentRelay::GiveUp(const WaitingOpening& aOpening, RelayPort& aPort)
+auto AgentRelay::DeferOrRefuse(const WaitingOpening& aOpening, RelayPort& aPort)
   -> void
 {
-  ++counters_.givenUp;
-  ++counters_.resets;
   log_.Write(EventLevel::Warning,
-             Event("flow_refused")
+             Event(aOpening.lastCopy ? "flow_refused" : "flow_deferred")
                .With("flow", ToText(aOpening.flow))
                .With("cause", "overload")
                .With("queued", queue_.Size())
@@ -180,6 +179,12 @@
                .With("slots", meter_.Slots())
                .With("service_us", meter_.ServiceTime().count())
                .Text());
+  if (!aOpening.lastCopy) {
+    ++counters_.deferred;
+    return;
+  }
+  ++counters_.givenUp;
+  ++counters_.resets;
   aPort.ResetCaller(aOpening.flow, 0);
 }
 
--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -30,7 +30,8 @@
   std::uint64_t toCallers = 0;
   std::uint64_t queued = 0;     // first packets that had to wait
   std::uint64_t expired = 0;    // ... until their caller gave them up
-  std::uint64_t givenUp = 0;    // ... too long to be of use, and were refused
+  std::uint64_t deferred = 0;   // ... too long: left to their next copy
+  std::uint64_t givenUp = 0;    // ... refused, for want of a further copy
   std::uint64_t redirected = 0; // first packets passed on
   std::uint64_t followed = 0;   // later packets passed on by a record
   std::uint64_t searched = 0;   // later packets passed on without one
@@ -141,7 +142,10 @@
   auto Enqueue(WaitingOpening aOpening, RelayPort& aPort) -> void;
   // Opens waiting flows while the backend server has room.
   auto AdmitWaiting(RelayPort& aPort) -> void;
-  auto GiveUp(const WaitingOpening& aOpening, RelayPort& aPort) -> void;
+  // The wait would be too long to be of use. A copy may find a shorter one; the
+  // last copy is refused at once. (A refusal is answered with the next try in
+  // milliseconds, so early ones would use up all tries within one surge.)
+  auto DeferOrRefuse(const WaitingOpening& aOpening, RelayPort& aPort) -> void;
   auto MakeWaiting(const Packet& aPacket, const RelayRoute& aRoute) const
     -> WaitingOpening;
   auto HasRoom() const -> bool;
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -68,7 +68,8 @@
 constexpr Millis kFirstRequestWithin{ 100 };
 // Callers give a first packet up after 1.4 s; it takes a round trip to open.
 constexpr Millis kOpeningGivenUp{ 1300 };
-// Callers send copies of a first packet after these times.
+// Callers send two copies of a first packet, after these times.
+constexpr std::uint32_t kFirstPacketCopies = 2;
 constexpr Millis kFirstCopyAfter{ 200 };
 constexpr Millis kSecondCopyAfter{ 600 };
 // Latency objective of routes that state none.
--- a/src/relay/opening_queue.h
+++ b/src/relay/opening_queue.h
@@ -26,6 +26,8 @@
   TimePoint onTimeUntil;
   TimePoint usefulUntil;
   std::uint32_t priority = 0; // 0 is served first
+  // The caller will send no further copy of it.
+  bool lastCopy = false;
 };
 
 // Single threaded.
--- a/src/relay_node/relay_metrics.cpp
+++ b/src/relay_node/relay_metrics.cpp
@@ -88,6 +88,10 @@
   count("openings_expired_total",
         "First packets that waited until their caller gave up",
         counters.expired);
+  count(
+    "openings_deferred_total",
+    "First packets left to their next copy, as their wait would be too long",
+    counters.deferred);
   count("openings_given_up_total",
         "First packets refused because their wait would be too long",
         counters.givenUp);
--- a/tests/relay_model.cpp
+++ b/tests/relay_model.cpp
@@ -274,6 +274,17 @@
   flow.sequence += 3;
 }
 
+auto RelayModel::Copy(std::size_t aFlow,
+                      std::size_t aBalancer,
+                      std::uint32_t aNumber) -> void
+{
+  const auto& flow = flows_[aFlow];
+  FromCaller(
+    aBalancer,
+    MakePacket(
+      kSyn, flow.key.caller, flow.key.address, flow.sequence - 1, aNumber, ""));
+}
+
 auto RelayModel::Close(std::size_t aFlow, std::size_t aBalancer) -> void
 {
   auto& flow = flows_[aFlow];
--- a/tests/relay_model.h
+++ b/tests/relay_model.h
@@ -65,6 +65,9 @@
   // Callers. A balancer is named by its index.
   auto Open(std::size_t aService, std::size_t aBalancer) -> std::size_t;
   auto Ask(std::size_t aFlow, std::size_t aBalancer) -> void;
+  // Sends a copy of the first packet, numbered from 1.
+  auto Copy(std::size_t aFlow, std::size_t aBalancer, std::uint32_t aNumber)
+    -> void;
   // Closes the caller's direction.
   auto Close(std::size_t aFlow, std::size_t aBalancer) -> void;
   auto Flow(std::size_t aFlow) -> ModelFlow& { return flows_[aFlow]; }
@@ -93,6 +96,7 @@
   auto SetQueueLimit(std::size_t aLimit) -> void { queueLimit_ = aLimit; }
   auto BrokenOff() const -> std::uint32_t { return brokenOff_; }
 
+  auto Balancers() const -> std::size_t { return balancers_.size(); }
   auto Targets() const -> std::size_t { return targets_.size(); }
   auto TargetIp(std::size_t aTarget) const -> std::uint32_t;
   auto Agent(std::size_t aTarget) -> AgentRelay&;
