Pass waiting first packets on when their server takes no new flows

Cause: found by reading: a first packet that waited at an agent was opened on its server although the server had begun to drain, or stopped answering, meanwhile.

--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -87,6 +87,7 @@
 
   auto Report() -> BackendLoad;
   auto Flows() const -> std::size_t { return flows_.size(); }
+  auto Waiting() const -> std::size_t { return queue_.Size(); }
   auto Records() const -> std::size_t { return records_.size(); }
   auto Counters() const -> const AgentCounters& { return counters_; }
 
@@ -140,8 +141,10 @@
   auto OnReturned(Packet& aPacket, RelayPort& aPort) -> void;
   auto Admit(const WaitingOpening& aOpening, RelayPort& aPort) -> void;
   auto Enqueue(WaitingOpening aOpening, RelayPort& aPort) -> void;
-  // Opens waiting flows while the backend server has room.
+  // Opens waiting flows while the backend server has room, and passes them on
+  // when it takes no new ones.
   auto AdmitWaiting(RelayPort& aPort) -> void;
+  auto Dispatch(const WaitingOpening& aOpening, RelayPort& aPort) -> void;
   // The wait would be too long to be of use. A copy may find a shorter one; the
   // last copy is refused at once. (A refusal is answered with the next try in
   // milliseconds, so early ones would use up all tries within one surge.)
@@ -152,6 +155,8 @@
   auto EndAwaiting(OwnFlow& aOwn) -> void;
   // Why this agent's backend server shall not open the flow; null: it may.
   auto Objection(const RelayRoute& aRoute) -> const char*;
+  // The part of it that is no matter of the server's health.
+  auto StandingObjection(const RelayRoute& aRoute) const -> const char*;
   // Where a first packet goes that cannot open here; none at its last hop.
   auto NextChoice(const Packet& aPacket, const RelayRoute& aRoute) const
     -> std::optional<Endpoint>;
--- /dev/null
+++ b/src/relay/agent_relay_opening.cpp
@@ -0,0 +1,277 @@
+// The agent's part for first packets: who may open here, who waits, and where
+// the others go.
+
+#include "relay/agent_relay.h"
+
+#include "relay/limits.h"
+
+namespace damaskwalk {
+
+namespace {
+
+constexpr const char* kFailing = "failing";
+
+// @param aBytes outlives the packet.
+auto FirstPacketOf(const FlowKey& aFlow,
+                   const RelayTag& aTag,
+                   std::string& aBytes) -> Packet
+{
+  Packet packet;
+  packet.flow = aFlow;
+  packet.opens = true;
+  packet.tag = aTag;
+  packet.bytes = aBytes;
+  return packet;
+}
+
+} // namespace
+
+auto AgentRelay::StandingObjection(const RelayRoute& aRoute) const -> const
+  char*
+{
+  if (!aRoute.Allows(init_.service)) {
+    return "other_service";
+  }
+  const auto* own = state_.FindAgent(init_.self);
+  if (!own || own->standing == TargetStanding::Gone) {
+    return "not_registered";
+  }
+  if (own->standing == TargetStanding::Leaving) {
+    return "draining";
+  }
+  return nullptr;
+}
+
+auto AgentRelay::Objection(const RelayRoute& aRoute) -> const char*
+{
+  if (const auto* objection = StandingObjection(aRoute)) {
+    return objection;
+  }
+  if (!meter_.IsFit()) {
+    return "not_answering";
+  }
+  if (meter_.IsFailing() && !meter_.TakeTrial() &&
+      !order_.NeedsFailing(init_.service)) {
+    return kFailing;
+  }
+  return nullptr;
+}
+
+auto AgentRelay::OnFirstPacket(Packet& aPacket, RelayPort& aPort) -> void
+{
+  const auto found = flows_.find(aPacket.flow);
+  if (found != flows_.end()) {
+    Deliver(found->second, aPacket, aPort);
+    return;
+  }
+  const auto* route = state_.FindRoute(aPacket.flow.address);
+  if (!route) {
+    return;
+  }
+  const auto* objection = Objection(*route);
+  // A server that fails some requests is better than none.
+  const bool lastResort = objection == kFailing && !NextChoice(aPacket, *route);
+  if (objection && !lastResort) {
+    Redirect(aPacket, *route, objection, aPort);
+    return;
+  }
+  if (flows_.size() >= kMaxAgentFlows) {
+    Redirect(aPacket, *route, "table_full", aPort);
+    return;
+  }
+  auto opening = MakeWaiting(aPacket, *route);
+  if (HasRoom() && queue_.Size() == 0) {
+    Admit(opening, aPort);
+  } else {
+    Enqueue(std::move(opening), aPort);
+  }
+}
+
+auto AgentRelay::MakeWaiting(const Packet& aPacket,
+                             const RelayRoute& aRoute) const -> WaitingOpening
+{
+  const auto copies = aPacket.acknowledgement;
+  const auto age = copies == 0   ? Millis{ 0 }
+                   : copies == 1 ? kFirstCopyAfter
+                                 : kSecondCopyAfter;
+  const auto objective = aRoute.latencyObjective.count() > 0
+                           ? aRoute.latencyObjective
+                           : kDefaultObjective;
+  WaitingOpening opening;
+  opening.flow = aPacket.flow;
+  opening.bytes.assign(aPacket.bytes.data(), aPacket.bytes.size());
+  opening.tag = aPacket.tag;
+  opening.sentAt = clock_.Now() - age;
+  opening.onTimeUntil = opening.sentAt + objective;
+  opening.usefulUntil =
+    opening.sentAt +
+    (aRoute.timeout.count() > 0 ? aRoute.timeout : kOpeningGivenUp);
+  opening.priority = aRoute.priority;
+  opening.lastCopy = copies >= kFirstPacketCopies;
+  return opening;
+}
+
+auto AgentRelay::HasRoom() const -> bool
+{
+  return meter_.InFlight() + awaitedCount_ <
+         kRequestsPerSlot * meter_.Slots() + kRequestsOnTheWay;
+}
+
+auto AgentRelay::Admit(const WaitingOpening& aOpening, RelayPort& aPort) -> void
+{
+  auto& own = flows_[aOpening.flow];
+  own.balancer = aOpening.tag.balancer;
+  own.awaited = true;
+  ++awaitedCount_;
+  const auto now = clock_.Now();
+  awaited_.emplace_back(now, aOpening.flow);
+  openings_[aOpening.flow] = { aOpening.bytes, aOpening.tag, now };
+  auto bytes = aOpening.bytes;
+  Deliver(own, FirstPacketOf(aOpening.flow, aOpening.tag, bytes), aPort);
+}
+
+auto AgentRelay::Enqueue(WaitingOpening aOpening, RelayPort& aPort) -> void
+{
+  if (queue_.Contains(aOpening.flow)) {
+    queue_.Add(std::move(aOpening));
+    return;
+  }
+  const auto ahead = meter_.InFlight() + awaitedCount_ + queue_.Size();
+  const auto wait = ExpectedWait(ahead, meter_.Slots(), meter_.ServiceTime());
+  if (clock_.Now() + wait >= aOpening.usefulUntil) {
+    DeferOrRefuse(aOpening, aPort);
+    return;
+  }
+  ++counters_.queued;
+  queue_.Add(std::move(aOpening));
+}
+
+auto AgentRelay::DeferOrRefuse(const WaitingOpening& aOpening, RelayPort& aPort)
+  -> void
+{
+  log_.Write(EventLevel::Warning,
+             Event(aOpening.lastCopy ? "flow_refused" : "flow_deferred")
+               .With("flow", ToText(aOpening.flow))
+               .With("cause", "overload")
+               .With("queued", queue_.Size())
+               .With("in_flight", meter_.InFlight())
+               .With("slots", meter_.Slots())
+               .With("service_us", meter_.ServiceTime().count())
+               .Text());
+  if (!aOpening.lastCopy) {
+    ++counters_.deferred;
+    return;
+  }
+  ++counters_.givenUp;
+  ++counters_.resets;
+  aPort.ResetCaller(aOpening.flow, 0);
+}
+
+auto AgentRelay::AdmitWaiting(RelayPort& aPort) -> void
+{
+  const auto now = clock_.Now();
+  while (!awaited_.empty() &&
+         now - awaited_.front().first >= kFirstRequestWithin) {
+    const auto found = flows_.find(awaited_.front().second);
+    if (found != flows_.end()) {
+      EndAwaiting(found->second);
+    }
+    awaited_.pop_front();
+  }
+  counters_.expired += queue_.DropExpired(now);
+  const auto* own = state_.FindAgent(init_.self);
+  const bool closed =
+    !meter_.IsFit() || !own || own->standing >= TargetStanding::Leaving;
+  while (queue_.Size() > 0 && (closed || HasRoom())) {
+    Dispatch(*queue_.Take(now, meter_.ServiceTime()), aPort);
+  }
+}
+
+auto AgentRelay::Dispatch(const WaitingOpening& aOpening, RelayPort& aPort)
+  -> void
+{
+  const auto* route = state_.FindRoute(aOpening.flow.address);
+  if (!route) {
+    return; // removed meanwhile
+  }
+  const auto* objection = StandingObjection(*route);
+  if (!objection && meter_.IsFit()) {
+    Admit(aOpening, aPort);
+    return;
+  }
+  auto bytes = aOpening.bytes;
+  auto packet = FirstPacketOf(aOpening.flow, aOpening.tag, bytes);
+  Redirect(packet, *route, objection ? objection : "not_answering", aPort);
+}
+
+auto AgentRelay::EndAwaiting(OwnFlow& aOwn) -> void
+{
+  if (aOwn.awaited) {
+    aOwn.awaited = false;
+    --awaitedCount_;
+  }
+}
+
+auto AgentRelay::NextChoice(const Packet& aPacket,
+                            const RelayRoute& aRoute) const
+  -> std::optional<Endpoint>
+{
+  return aPacket.tag.hops < kMaxOpeningHops
+           ? order_.NextOpen(aRoute, aPacket.flow, init_.self)
+           : std::nullopt;
+}
+
+auto AgentRelay::Redirect(Packet& aPacket,
+                          const RelayRoute& aRoute,
+                          const char* aCause,
+                          RelayPort& aPort) -> void
+{
+  const auto next = NextChoice(aPacket, aRoute);
+  log_.Write(EventLevel::Info,
+             Event("flow_redirected")
+               .With("flow", ToText(aPacket.flow))
+               .With("route", aRoute.name)
+               .With("cause", aCause)
+               .With("agent", next ? ToText(*next) : std::string("none"))
+               .With("hops", aPacket.tag.hops)
+               .With("routes", state_.Routes().version)
+               .With("targets", state_.Targets().revision)
+               .With("age_ms", state_.Digest().age.count())
+               .Text());
+  if (!next) {
+    ++counters_.resets;
+    aPort.ResetCaller(aPacket.flow, 0);
+    return;
+  }
+  ++counters_.redirected;
+  ++aPacket.tag.hops;
+  aPacket.tag.wantsHint = true;
+  aPort.ToAgent(*next, aPacket);
+}
+
+auto AgentRelay::ExpireOpenings(RelayPort& aPort) -> void
+{
+  AdmitWaiting(aPort);
+  const auto now = clock_.Now();
+  for (auto entry = openings_.begin(); entry != openings_.end();) {
+    if (now - entry->second.since < kOpeningWithin) {
+      ++entry;
+      continue;
+    }
+    meter_.NoteUnanswered();
+    auto opening = std::move(entry->second);
+    const auto flow = entry->first;
+    entry = openings_.erase(entry);
+    const auto found = flows_.find(flow);
+    if (found != flows_.end()) {
+      EndAwaiting(found->second);
+      flows_.erase(found);
+    }
+    auto packet = FirstPacketOf(flow, opening.tag, opening.bytes);
+    if (const auto* route = state_.FindRoute(flow.address)) {
+      Redirect(packet, *route, "no_answer", aPort);
+    }
+  }
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay/agent_relay_requests.cpp
@@ -0,0 +1,106 @@
+// The agent's part for load: requests and answers, as far as their packets show
+// them.
+
+#include "relay/agent_relay.h"
+#include "relay/sequence.h"
+
+namespace damaskwalk {
+
+auto AgentRelay::NoteCallerData(OwnFlow& aOwn, const Packet& aPacket) -> void
+{
+  if (aPacket.payload.empty() || aOwn.phase == Phase::Finished) {
+    return;
+  }
+  const auto end =
+    aPacket.sequence + static_cast<std::uint32_t>(aPacket.payload.size());
+  const bool isNew = aOwn.callerNext == 0 || !AtOrAfter(aOwn.callerNext, end);
+  if (isNew) {
+    aOwn.callerNext = end;
+  }
+  if (isNew && !aOwn.busy) {
+    ++counters_.requests;
+    EndAwaiting(aOwn);
+    aOwn.busy = true;
+    aOwn.requestUnread = true;
+    aOwn.requestBegan = clock_.Now();
+    aOwn.before = meter_.BeginRequest();
+  }
+  if (aOwn.requestUnread) {
+    ReadRequest(aOwn, aPacket);
+  }
+}
+
+auto AgentRelay::ReadRequest(OwnFlow& aOwn, const Packet& aPacket) -> void
+{
+  const auto id = reader_.RequestId(aPacket.payload);
+  if (id.empty()) {
+    return;
+  }
+  aOwn.requestUnread = false;
+  log_.Write(EventLevel::Info,
+             Event("request_delivered")
+               .With("request", id)
+               .With("flow", ToText(aPacket.flow))
+               .With("in_flight", aOwn.before)
+               .With("hops", aPacket.tag.hops)
+               .Text());
+}
+
+auto AgentRelay::NoteBackendData(OwnFlow& aOwn, const Packet& aPacket) -> void
+{
+  if (aPacket.payload.empty()) {
+    return;
+  }
+  if (aOwn.busy) {
+    aOwn.busy = false;
+    aOwn.answerUnread = true;
+    aOwn.answerBegan = clock_.Now();
+    meter_.EndRequest(aOwn.requestBegan, aOwn.before);
+  }
+  if (aOwn.answerUnread) {
+    ReadAnswer(aOwn, aPacket);
+  }
+}
+
+auto AgentRelay::ReadAnswer(OwnFlow& aOwn, const Packet& aPacket) -> void
+{
+  const auto answer = reader_.Answer(aPacket.payload);
+  if (answer.status == 0) {
+    return;
+  }
+  aOwn.answerUnread = false;
+  const bool failed = answer.status >= 500 || answer.notRun;
+  counters_.failures += failed ? 1 : 0;
+  NoteOutcome(failed, answer.notRun ? "not_run" : "error");
+  const auto took = std::chrono::duration_cast<std::chrono::microseconds>(
+    aOwn.answerBegan - aOwn.requestBegan);
+  if (observer_) {
+    observer_->OnAnswer(took);
+  }
+  log_.Write(failed ? EventLevel::Warning : EventLevel::Info,
+             Event("request_answered")
+               .With("flow", ToText(aPacket.flow))
+               .With("status", answer.status)
+               .With("not_run", answer.notRun)
+               .With("took_us", took.count())
+               .Text());
+}
+
+auto AgentRelay::NoteOutcome(bool aFailed, const char* aCause) -> void
+{
+  const bool before = meter_.IsFailing();
+  meter_.NoteAnswer(aFailed);
+  if (meter_.IsFailing() == before) {
+    return;
+  }
+  BackendLoad load;
+  meter_.Fill(load);
+  log_.Write(EventLevel::Warning,
+             Event(before ? "backend_restored" : "backend_ejected")
+               .With("cause", before ? "good_answers" : aCause)
+               .With("failure_per_mille", load.failurePerMille)
+               .With("in_flight", load.inFlight)
+               .Text());
+}
+
+} // namespace damaskwalk
--- a/tests/relay_load_test.cpp
+++ b/tests/relay_load_test.cpp
@@ -150,6 +150,33 @@
   EXPECT_LE(refused(), 52);
 }
 
+// Pattern: a server begins to drain, or stops answering, while first packets
+// wait for it. They go on to other servers at once.
+TEST(RelayLoad, WaitingFirstPacketsLeaveADrainingServer)
+{
+  RelayModel model({ 2, 1 }, 1);
+  model.SetWork(0, Millis{ 300 });
+  std::vector<std::size_t> flows;
+  for (std::size_t i = 0; i < 60; ++i) {
+    flows.push_back(model.Open(0, 0));
+  }
+  model.Run(Millis{ 10 });
+  for (const auto flow : flows) {
+    if (model.Flow(flow).open) {
+      model.Ask(flow, 0);
+    }
+  }
+  model.Run(Millis{ 10 });
+  const auto opened = model.Opened(0);
+  ASSERT_GT(model.Agent(0).Waiting(), 0U);
+  model.SetDraining(0);
+  model.Publish();
+  model.Run(Millis{ 30 });
+  EXPECT_EQ(model.Agent(0).Waiting(), 0U);
+  model.Run(Millis{ 1000 });
+  EXPECT_EQ(model.Opened(0), opened);
+}
+
 TEST(RelayLoad, ACopyOpensOnceTheSurgeIsOver)
 {
   RelayModel model({ 1, 1 }, 1);
