Ask backend servers again after the idle timeout was raised

Cause: found by reading: an agent forgets a flow that was idle for the configured time. When a configuration raises that time, the flow may be alive, yet the agent was certain not to have it, and a complete search would have reset it. Test first: RelayFlow.FindsIdleFlowsAfterTheTimeoutWasRaised failed (60 checks), passes. Also: the balancer of a first packet is looked up, not searched for.

--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -21,7 +21,8 @@
   , log_(aLog)
   , order_(aState, aLoad)
   , meter_(aClock)
-  , startedAt_(aClock.Now())
+  , tracksSince_(aClock.Now())
+  , trackedIdle_(kDefaultIdleTimeout)
 {
 }
 
@@ -87,9 +88,9 @@
   if (FollowRecord(aPacket, aPort)) {
     return;
   }
-  // A flow that is alive had a packet here within the idle timeout; before
-  // that much time has passed since the start, only the backend server knows.
-  const bool unsure = clock_.Now() - startedAt_ < IdleTimeout();
+  // A flow that is alive had a packet here within the idle timeout; until
+  // entries were kept for that long, only the backend server knows.
+  const bool unsure = clock_.Now() - tracksSince_ < IdleTimeout();
   if (unsure && !aPacket.returned && !meter_.IsDown() &&
       !flows_.contains(aPacket.flow) && route->Allows(init_.service)) {
     ++counters_.delivered;
@@ -313,20 +314,32 @@
   balancers_[BalancerTag(aIp)] = aIp;
 }
 
+auto AgentRelay::FindBalancer(std::uint16_t aTag) const
+  -> std::optional<std::uint32_t>
+{
+  const auto found = balancers_.find(aTag);
+  return found == balancers_.end() ? std::nullopt
+                                   : std::optional(found->second);
+}
+
 auto AgentRelay::TellBalancer(const Packet& aPacket, RelayPort& aPort) -> void
 {
-  const auto found = balancers_.find(aPacket.tag.balancer);
-  if (found != balancers_.end()) {
-    aPort.Tell(found->second,
+  if (const auto balancer = FindBalancer(aPacket.tag.balancer)) {
+    aPort.Tell(*balancer,
                PeerMessage{ FlowLocation{ aPacket.flow, init_.self } });
   }
 }
 
-auto AgentRelay::OnTargetsChanged() -> void
+auto AgentRelay::OnStateChanged() -> void
 {
   if (const auto* own = state_.FindAgent(init_.self)) {
     meter_.SetSlots(own->target.slots);
   }
+  if (IdleTimeout() > trackedIdle_) {
+    // Entries that were dropped by the shorter timeout may be alive.
+    tracksSince_ = clock_.Now();
+  }
+  trackedIdle_ = IdleTimeout();
   for (auto& [flow, own] : flows_) {
     own.registeredAt = TimePoint{};
   }
--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -76,8 +76,11 @@
   auto OnBackendDown(RelayPort& aPort) -> void;
   auto OnRegistration(const FlowRegistration& aRegistration) -> void;
   auto OnBalancer(std::uint32_t aIp) -> void;
-  // Targets changed: records move to other directory agents.
-  auto OnTargetsChanged() -> void;
+  // VM of the balancer with a tag; nothing when it was not heard yet.
+  auto FindBalancer(std::uint16_t aTag) const -> std::optional<std::uint32_t>;
+  // Routes, targets or peers changed: records may belong to other directory
+  // agents, and flows may be idle for longer than before.
+  auto OnStateChanged() -> void;
   // Tries another agent for first packets that went without an answer. To be
   // called every few tens of milliseconds.
   auto ExpireOpenings(RelayPort& aPort) -> void;
@@ -112,7 +115,6 @@
     // Each end closes its direction; an answer may follow the caller's close.
     bool callerClosed = false;
     bool backendClosed = false;
-    std::uint16_t balancer = 0;
     std::uint32_t backendSequence = 0;
     std::uint32_t callerNext = 0; // first byte that the caller did not send yet
     std::uint32_t callerAcknowledged = 0;
@@ -195,7 +197,9 @@
   AnswerObserver* observer_ = nullptr;
   SearchOrder order_;
   BackendMeter meter_;
-  TimePoint startedAt_;
+  // Entries are kept since then for as long as flows may be idle.
+  TimePoint tracksSince_;
+  Millis trackedIdle_;
   boost::unordered_flat_map<FlowKey, OwnFlow, KeyHash> flows_;
   boost::unordered_flat_map<FlowKey, Record, KeyHash> records_;
   std::unordered_map<FlowKey, OpeningPacket, KeyHash> openings_;
--- a/src/relay/agent_relay_opening.cpp
+++ b/src/relay/agent_relay_opening.cpp
@@ -120,7 +120,6 @@
 auto AgentRelay::Admit(const WaitingOpening& aOpening, RelayPort& aPort) -> void
 {
   auto& own = flows_[aOpening.flow];
-  own.balancer = aOpening.tag.balancer;
   own.awaited = true;
   ++awaitedCount_;
   const auto now = clock_.Now();
--- a/src/relay_node/relay_peers.cpp
+++ b/src/relay_node/relay_peers.cpp
@@ -62,7 +62,7 @@
   }
   if (agent_ && aHeartbeat.role == RelayRole::Agent && isNew) {
     // It may have lost the records that it kept for others.
-    agent_->OnTargetsChanged();
+    agent_->OnStateChanged();
   }
   if (isNew || aHeartbeat.wantsReply) {
     Tell(aIp, PeerMessage{ MakeHeartbeat() });
@@ -309,7 +309,7 @@
                     .With("known_targets", state_.Known().size())
                     .Text());
   if (agent_) {
-    agent_->OnTargetsChanged();
+    agent_->OnStateChanged();
   }
   if (state_.HasState() && !waiting_.empty()) {
     ReplayWaiting();
--- a/src/relay_node/relay_process.cpp
+++ b/src/relay_node/relay_process.cpp
@@ -164,12 +164,8 @@
   }
   agent_->OnCallerPacket(aPacket, *this);
   if (aPacket.opens) {
-    for (const auto& [ip, peer] : load_.Peers()) {
-      if (peer.role == RelayRole::Balancer &&
-          BalancerTag(ip) == aPacket.tag.balancer) {
-        ReportLoadTo(ip);
-        break;
-      }
+    if (const auto balancer = agent_->FindBalancer(aPacket.tag.balancer)) {
+      ReportLoadTo(*balancer);
     }
   }
 }
--- a/tests/relay_flow_test.cpp
+++ b/tests/relay_flow_test.cpp
@@ -107,6 +107,27 @@
   }
 }
 
+// Pattern: the configuration raises the idle timeout while flows are idle that
+// agents have already forgotten by the shorter one.
+TEST(RelayFlow, FindsIdleFlowsAfterTheTimeoutWasRaised)
+{
+  RelayModel model({ 7, 3 }, 2);
+  model.Run(Millis{ 20000 });
+  const auto flows = OpenSome(model, 30);
+  model.Run(Millis{ 19000 });
+  model.SetIdleTimeout(Millis{ 30000 });
+  model.Publish();
+  model.Run(Millis{ 100 });
+  for (const auto flow : flows) {
+    model.Ask(flow, 0);
+  }
+  model.Run(Millis{ 300 });
+  for (const auto flow : flows) {
+    EXPECT_FALSE(model.Flow(flow).reset);
+    EXPECT_EQ(model.Flow(flow).answers, 2U);
+  }
+}
+
 TEST(RelayFlow, DoesNotResetWhileAnAgentIsSilent)
 {
   RelayModel model({ 7, 3 }, 2);
--- a/tests/relay_model.cpp
+++ b/tests/relay_model.cpp
@@ -640,8 +640,8 @@
 auto RelayModel::Table() const -> RouteTable
 {
   RouteTable table;
-  table.version = 1;
-  table.idleTimeout = Millis{ 15000 };
+  table.version = static_cast<DocumentVersion>(idleTimeout_.count());
+  table.idleTimeout = idleTimeout_;
   for (std::size_t service = 0; service < services_; ++service) {
     RelayRoute route;
     route.name = "route-" + std::to_string(service);
@@ -665,9 +665,10 @@
     if (!aWho(aNode.port.ip)) {
       return;
     }
-    aNode.state.OfferRoutes(Table());
-    if (aNode.state.OfferTargets(set, Millis{ 0 }) && aNode.agent) {
-      aNode.agent->OnTargetsChanged();
+    const bool routes = aNode.state.OfferRoutes(Table());
+    const bool targets = aNode.state.OfferTargets(set, Millis{ 0 });
+    if ((routes || targets) && aNode.agent) {
+      aNode.agent->OnStateChanged();
     }
   };
   for (auto& target : targets_) {
--- a/tests/relay_model.h
+++ b/tests/relay_model.h
@@ -86,6 +86,7 @@
   // Which processes hear of the registrations now; the others stay stale.
   auto Publish() -> void;
   auto PublishTo(std::function<bool(std::uint32_t aIp)> aWho) -> void;
+  auto SetIdleTimeout(Millis aTimeout) -> void { idleTimeout_ = aTimeout; }
   auto SetLoss(double aShare) -> void { loss_ = aShare; }
   // A server that breaks off this share of its requests at once.
   auto SetBreaking(std::size_t aTarget, double aShare) -> void;
@@ -143,6 +144,7 @@
   NoContent reader_;
   std::unique_ptr<PacketCodec> codec_;
   std::mt19937_64 random_;
+  Millis idleTimeout_{ 15000 };
   double loss_ = 0;
   std::uint64_t order_ = 0;
   std::uint64_t revision_ = 1;
