Believe the registration about an address's service; count suspended time

Cause: found by reading: an agent went by the service in its settings. When its address registers for another service, first packets and open flows of the former one reached the new server. The platform's steady clock stands still while a VM is suspended, so a woken process thought its state young.

--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace damaskwalk {
 
@@ -32,6 +33,24 @@
   }
 };
 
+// As SystemClock, but its monotonic time goes on while the VM is suspended, so
+// that ages are right after it wakes.
+class BootClock final : public Clock
+{
+public:
+  auto Now() const -> TimePoint override
+  {
+    timespec now{};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    return TimePoint{ std::chrono::seconds{ now.tv_sec } +
+                      std::chrono::nanoseconds{ now.tv_nsec } };
+  }
+  auto Wall() const -> WallTime override
+  {
+    return std::chrono::system_clock::now();
+  }
+};
+
 // Time that moves only when told to; both times move together.
 class ManualClock final : public Clock
 {
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -32,6 +32,12 @@
   return timeout.count() > 0 ? timeout : kDefaultIdleTimeout;
 }
 
+auto AgentRelay::Service() const -> ServiceId
+{
+  const auto* own = state_.FindAgent(init_.self);
+  return own ? own->target.service : init_.service;
+}
+
 auto AgentRelay::OnCallerPacket(Packet aPacket, RelayPort& aPort) -> void
 {
   if (aPacket.opens) {
@@ -49,6 +55,12 @@
     return;
   }
   auto& own = found->second;
+  if (own.service != Service()) {
+    ResetLost(
+      aPacket.flow, own, aPacket.acknowledgement, "server_replaced", aPort);
+    flows_.erase(found);
+    return;
+  }
   if (own.phase == Phase::Opening && own.answered && aPacket.acknowledges) {
     if (!AtOrAfter(aPacket.acknowledgement, own.backendSequence + 1) ||
         aPacket.acknowledgement - own.backendSequence > (1U << 20)) {
@@ -92,7 +104,7 @@
   // entries were kept for that long, only the backend server knows.
   const bool unsure = clock_.Now() - tracksSince_ < IdleTimeout();
   if (unsure && !aPacket.returned && !meter_.IsDown() &&
-      !flows_.contains(aPacket.flow) && route->Allows(init_.service)) {
+      !flows_.contains(aPacket.flow) && route->Allows(Service())) {
     ++counters_.delivered;
     aPort.ToBackend(aPacket);
     return;
@@ -172,6 +184,7 @@
   if (isNew) {
     // Opened before this process started.
     own.phase = Phase::Open;
+    own.service = Service();
     Register(aPacket.flow, own);
   }
   if (aPacket.opens && aPacket.acknowledges) {
@@ -390,7 +403,7 @@
 {
   BackendLoad report;
   meter_.Fill(report);
-  report.service = init_.service;
+  report.service = Service();
   report.inFlight += awaitedCount_ + static_cast<std::uint32_t>(queue_.Size());
   report.flows = static_cast<std::uint32_t>(flows_.size());
   const auto* own = state_.FindAgent(init_.self);
--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -105,6 +105,7 @@
   struct OwnFlow
   {
     Phase phase = Phase::Opening;
+    ServiceId service;     // whose backend server holds it
     bool answered = false; // the backend server accepted the first packet
     bool awaited = false;  // its first request is on its way
     bool busy = false;     // a request waits for its answer
@@ -155,6 +156,9 @@
     -> WaitingOpening;
   auto HasRoom() const -> bool;
   auto EndAwaiting(OwnFlow& aOwn) -> void;
+  // As the backend server registered itself; until then as configured. An
+  // address that is reused belongs to the service that registered last.
+  auto Service() const -> ServiceId;
   // Why this agent's backend server shall not open the flow; null: it may.
   auto Objection(const RelayRoute& aRoute) -> const char*;
   // The part of it that is no matter of the server's health.
--- a/src/relay/agent_relay_opening.cpp
+++ b/src/relay/agent_relay_opening.cpp
@@ -29,7 +29,7 @@
 auto AgentRelay::StandingObjection(const RelayRoute& aRoute) const -> const
   char*
 {
-  if (!aRoute.Allows(init_.service)) {
+  if (!aRoute.Allows(Service())) {
     return "other_service";
   }
   const auto* own = state_.FindAgent(init_.self);
@@ -51,7 +51,7 @@
     return "not_answering";
   }
   if (meter_.IsFailing() && !meter_.TakeTrial() &&
-      !order_.NeedsFailing(init_.service)) {
+      !order_.NeedsFailing(Service())) {
     return kFailing;
   }
   return nullptr;
@@ -60,7 +60,7 @@
 auto AgentRelay::OnFirstPacket(Packet& aPacket, RelayPort& aPort) -> void
 {
   const auto found = flows_.find(aPacket.flow);
-  if (found != flows_.end()) {
+  if (found != flows_.end() && found->second.service == Service()) {
     Deliver(found->second, aPacket, aPort);
     return;
   }
@@ -120,6 +120,7 @@
 auto AgentRelay::Admit(const WaitingOpening& aOpening, RelayPort& aPort) -> void
 {
   auto& own = flows_[aOpening.flow];
+  own.service = Service();
   own.awaited = true;
   ++awaitedCount_;
   const auto now = clock_.Now();
--- a/tests/relay_flow_test.cpp
+++ b/tests/relay_flow_test.cpp
@@ -184,6 +184,34 @@
   }
 }
 
+// Pattern: the address of a server that ended is used by another service, and
+// only its own agent has heard of it.
+TEST(RelayFlow, AReusedAddressGetsNoPacketOfItsFormerService)
+{
+  RelayModel model({ 3, 3 }, 2);
+  const auto before = OpenSome(model, 60);
+  ASSERT_GT(model.Opened(1), 0U);
+  model.Reuse(1, 1);
+  model.PublishTo([&](std::uint32_t aIp) { return aIp == model.TargetIp(1); });
+  for (const auto flow : before) {
+    model.Ask(flow, 0);
+  }
+  model.Run(Millis{ 50 });
+  for (const auto flow : before) {
+    const bool lost = model.Flow(flow).target == model.TargetIp(1);
+    EXPECT_EQ(model.Flow(flow).reset, lost);
+  }
+  for (const auto flow : OpenSome(model, 60)) {
+    EXPECT_EQ(model.Flow(flow).answers, 1U);
+  }
+  EXPECT_EQ(model.ForeignPackets(), 0U);
+  model.Publish();
+  const auto opened = model.Opened(1);
+  OpenSome(model, 60, 1);
+  EXPECT_GT(model.Opened(1), opened);
+  EXPECT_EQ(model.ForeignPackets(), 0U);
+}
+
 // Pattern: a backend server hangs: it takes first packets and says nothing.
 TEST(RelayFlow, OpensElsewhereWhenAServerDoesNotAnswer)
 {
--- a/tests/relay_model.cpp
+++ b/tests/relay_model.cpp
@@ -585,6 +585,13 @@
   }
 }
 
+auto RelayModel::Reuse(std::size_t aTarget, std::size_t aService) -> void
+{
+  CrashBackend(aTarget);
+  targets_[aTarget]->service = aService;
+  StartBackend(aTarget);
+}
+
 auto RelayModel::FreezeBackend(std::size_t aTarget, bool aFrozen) -> void
 {
   targets_[aTarget]->frozen = aFrozen;
--- a/tests/relay_model.h
+++ b/tests/relay_model.h
@@ -81,6 +81,8 @@
   auto CrashBackend(std::size_t aTarget) -> void; // port closed
   auto StartBackend(std::size_t aTarget) -> void;
   auto FreezeBackend(std::size_t aTarget, bool aFrozen) -> void;
+  // The backend server ends, and its address registers for another service.
+  auto Reuse(std::size_t aTarget, std::size_t aService) -> void;
   auto SetDraining(std::size_t aTarget) -> void;
   auto Register(std::size_t aTarget, bool aRegistered) -> void;
   // Which processes hear of the registrations now; the others stay stale.
