Count an early look at a silent member's port

Cause: a member that others suspect first is looked at before its own 1.1 s are up. Its port accepted, but the answer was thrown away because the member had been heard within 1.1 s, and no second look followed: 600 ms later it was declared dead, its flows were reset, and the verdict was adopted at once by everybody who held it for paused. Two neighbours of the fault: a connection that timed out while the observer itself stood still killed a paused member, and a stall of the observer counted as silence of the others. Ruled out: restarts (incarnations), the reset that a moved address causes, lost packets. Change: an accepted connection counts whenever it comes; a verdict of another is checked while the port accepts; after a stall suspects get their time and another look.

--- a/src/core/config.h
+++ b/src/core/config.h
@@ -67,6 +67,8 @@
 constexpr std::chrono::milliseconds kSuspectAfter{ 1100 };
 constexpr std::chrono::milliseconds kDeadAfter{ 1700 };
 constexpr std::chrono::milliseconds kPausedGrace{ 10000 };
+// A connection to a suspect's port: an accepting one answers in a round trip.
+constexpr std::chrono::milliseconds kConfirmWithin{ 400 };
 constexpr std::chrono::milliseconds kKeyLease{ 1400 };
 
 // A process that did not run for this long re-reads before it acts.
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -19,6 +19,9 @@
 constexpr std::size_t kMaxRelayed = 1024;
 constexpr int kRefutationBits = 16;
 constexpr std::size_t kHelperTries = 64;
+// Longer between two ticks: this process was held up. Five periods of the
+// node's timer, and half of what a connection to a suspect may take.
+constexpr Millis kStall{ 250 };
 
 } // namespace
 
@@ -85,6 +88,7 @@
   }
   member.lastHeard = clock_.Now();
   member.heard = true;
+  member.accused = false;
   member.probing = false;
   member.refused = false;
   const bool gone =
@@ -175,6 +179,34 @@
   suspectsSelf_ = silent >= 2 && silent > heard;
 }
 
+// What this process did not hear while it did not run proves nothing: its
+// suspects get their whole time again, and another look.
+auto Membership::NoteStall(TimePoint aNow) -> void
+{
+  const bool stalled = lastTick_ != TimePoint{} && aNow - lastTick_ > kStall;
+  lastTick_ = aNow;
+  if (!stalled) {
+    return;
+  }
+  awakeSince_ = aNow;
+  for (const auto& endpoint : watched_) {
+    const auto* member = Find(endpoint);
+    if (member && member->state == MemberState::Suspect) {
+      toVerify_.push_back(endpoint);
+    }
+  }
+}
+
+// A connection that timed out while this process did not run says nothing
+// about the other side.
+auto Membership::WasHeldUp() const -> bool
+{
+  const auto now = clock_.Now();
+  const bool lately =
+    awakeSince_ != TimePoint{} && now - awakeSince_ < kConfirmWithin;
+  return lately || now - lastTick_ > kStall;
+}
+
 auto Membership::TickMember(const Endpoint& aEndpoint,
                             Member& aMember,
                             MembershipActions& aActions) -> void
@@ -198,9 +230,9 @@
       aMember.probedAt = now;
       ProbeIndirectly(aEndpoint, aActions);
     }
-    const bool expired =
-      !seenByOthers && silence > kDeadAfter &&
-      now - aMember.suspectSince > kDeadAfter - kSuspectAfter;
+    const bool expired = !seenByOthers && silence > kDeadAfter &&
+                         now - std::max(aMember.suspectSince, awakeSince_) >
+                           kDeadAfter - kSuspectAfter;
     if (expired && !suspectsSelf_) {
       Change(aEndpoint, aMember, MemberState::Dead);
     }
@@ -278,6 +310,7 @@
   const auto now = clock_.Now();
   MembershipActions actions;
   CountSilent();
+  NoteStall(now);
   for (const auto& suspect : std::exchange(toVerify_, {})) {
     actions.probes.push_back({ suspect, { ++sequence_, {}, {} } });
     actions.confirm.push_back(suspect);
@@ -366,7 +399,8 @@
   auto& member = found->second;
   const bool open =
     member.state == MemberState::Suspect || member.state == MemberState::Paused;
-  if (!open || clock_.Now() - member.lastHeard < kSuspectAfter) {
+  const bool heardLately = clock_.Now() - member.lastHeard < kSuspectAfter;
+  if (!open || (heardLately && !aAccepted)) {
     return;
   }
   if (aRefused) {
@@ -374,8 +408,13 @@
     Change(aMember, member, MemberState::Dead);
   } else if (aAccepted) {
     Change(aMember, member, MemberState::Paused);
+  } else if (WasHeldUp()) {
+    toVerify_.push_back(aMember);
   } else if (member.state == MemberState::Paused) {
-    Change(aMember, member, MemberState::Suspect);
+    // Two processes that cannot reach it settle the matter.
+    const bool agreed = member.accused;
+    Change(aMember, member, agreed ? MemberState::Dead : MemberState::Suspect);
+    toVerify_.push_back(aMember);
   }
 }
 
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -136,6 +136,7 @@
     TimePoint indirectAt; // last acknowledgement by way of another member
     bool refused = false; // its VM said that no process is there
     bool heard = false;
+    bool accused = false; // another says that it is dead
     bool listed = false;
     bool peer = false;
     bool probing = false;
@@ -170,6 +171,8 @@
   auto RefillOrder() -> void;
   auto ProbeNext(MembershipActions& aActions) -> void;
   auto CountSilent() -> void;
+  auto NoteStall(TimePoint aNow) -> void;
+  auto WasHeldUp() const -> bool;
   auto FactsLocked(std::size_t aMost) -> std::vector<MemberFact>;
   auto Find(const Endpoint& aEndpoint) const -> const Member*;
 
@@ -194,6 +197,8 @@
   std::mt19937_64 random_;
   std::uint64_t sequence_ = 0;
   TimePoint nextProbe_;
+  TimePoint lastTick_;
+  TimePoint awakeSince_; // end of the last stall of this process
   bool suspectsSelf_ = false;
   bool leaving_ = false;
   bool listedLeaving_ = false;
--- a/src/core/membership_facts.cpp
+++ b/src/core/membership_facts.cpp
@@ -210,6 +210,12 @@
                        aFact.state == MemberState::Paused ||
                        aFact.state == MemberState::Dead;
   member.incarnation = aFact.incarnation;
+  const bool portAccepts = member.state == MemberState::Paused && !restarted;
+  if (accused && portAccepts) {
+    member.accused = aFact.state == MemberState::Dead;
+    toVerify_.push_back(aFact.member);
+    return;
+  }
   if (accused && running && !fresh) {
     Verify(aFact.member, member);
     return;
--- a/src/runtime/node_control.cpp
+++ b/src/runtime/node_control.cpp
@@ -26,7 +26,6 @@
 constexpr Millis kListingPeriod{ 1000 };
 constexpr Millis kRetryPeriod{ 500 };
 constexpr Millis kPullWithin{ 2000 };
-constexpr Millis kConfirmWithin{ 400 };
 constexpr Millis kAdvertGap{ 20 };
 constexpr Millis kRecheckWithin{ 500 };
 
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -37,6 +37,9 @@
         if (!Runs(i)) {
           continue;
         }
+        for (const auto& suspect : std::exchange(nodes_[i].timedOut, {})) {
+          nodes_[i].members->Confirm(suspect, false, false);
+        }
         if ((steps_ + i) % 10 == 0) {
           for (std::size_t to = 0; to < nodes_.size(); ++to) {
             Send(i, to, {});
@@ -62,6 +65,13 @@
     nodes_[aNode].pausedUntil = clock_.Now() + aTime;
   }
   auto Cut(std::uint64_t aSide) -> void { cut_ = aSide; }
+  // Every such share of the connections to a suspect meets a stall of the
+  // process that opened it, and times out though the port accepts.
+  auto StallConfirmations(double aShare, Millis aTime) -> void
+  {
+    stallShare_ = aShare;
+    stallTime_ = aTime;
+  }
   auto Members(std::size_t aNode) -> Membership&
   {
     return *nodes_[aNode].members;
@@ -76,6 +86,7 @@
     bool alive = true;
     bool vmGone = false;
     TimePoint pausedUntil;
+    std::vector<Endpoint> timedOut;
   };
   struct Datagram
   {
@@ -129,6 +140,12 @@
     }
     for (const auto& suspect : aActions.confirm) {
       const auto to = Index(suspect);
+      if (stallShare_ > 0 &&
+          std::uniform_real_distribution<double>(0, 1)(random_) < stallShare_) {
+        Pause(aNode, stallTime_);
+        nodes_[aNode].timedOut.push_back(suspect);
+        continue;
+      }
       const bool reaches = !nodes_[to].vmGone && !IsCut(aNode, to);
       nodes_[aNode].members->Confirm(
         suspect, reaches && nodes_[to].alive, reaches && !nodes_[to].alive);
@@ -185,6 +202,8 @@
   ManualClock clock_;
   std::mt19937_64 random_;
   double loss_;
+  double stallShare_ = 0;
+  Millis stallTime_{ 0 };
   std::vector<Node> nodes_;
   std::vector<ListedVm> listing_;
   std::deque<Datagram> network_;
@@ -236,6 +255,62 @@
   EXPECT_EQ(fleet.FalseDeaths(), 0U);
 }
 
+// A busy machine: one process is paused, and those that look at its port are
+// held up themselves while they wait for the answer.
+TEST(Membership, AStallOfTheObserverKillsNoPausedMember)
+{
+  Holds("stalled observers", [](std::uint64_t aSeed) {
+    Fleet fleet(aSeed, 7, 0);
+    fleet.Run(Millis{ 2000 });
+    fleet.StallConfirmations(0.3, Millis{ 700 });
+    fleet.Pause(aSeed % 7, Millis{ 4000 });
+    fleet.Run(Millis{ 6000 });
+    RC_ASSERT(fleet.FalseDeaths() == 0U);
+  });
+}
+
+TEST(Membership, AnothersVerdictWaitsWhileThePortAccepts)
+{
+  ManualClock clock;
+  Membership members({ Agent(0), Role::Agent, "a", 1 << 16, 1 }, clock);
+  members.SetPeers({ Agent(1) });
+  members.Hear(Agent(1), Role::Agent, 1 << 16);
+  for (int step = 0; step < 30; ++step) {
+    clock.Advance(Millis{ 50 });
+    for (const auto& suspect : members.Tick().confirm) {
+      members.Confirm(suspect, true, false);
+    }
+  }
+  ASSERT_EQ(members.StateOf(Agent(1)), MemberState::Paused);
+  members.Merge({ { Agent(1), Role::Agent, MemberState::Dead, 1 << 16, "a" } });
+  EXPECT_EQ(members.StateOf(Agent(1)), MemberState::Paused);
+  const auto confirm = members.Tick().confirm;
+  ASSERT_EQ(confirm.size(), 1U);
+  members.Confirm(confirm.front(), false, true);
+  EXPECT_TRUE(members.IsDead(Agent(1)));
+}
+
+// Others suspect it first, so this process looks at its port before its own
+// time is up. The answer must count when the time is up.
+TEST(Membership, AnEarlyLookAtThePortCounts)
+{
+  ManualClock clock;
+  Membership members({ Agent(0), Role::Agent, "a", 1 << 16, 1 }, clock);
+  members.SetPeers({ Agent(1) });
+  members.Hear(Agent(1), Role::Agent, 1 << 16);
+  clock.Advance(Millis{ 900 });
+  members.Tick();
+  members.Merge(
+    { { Agent(1), Role::Agent, MemberState::Suspect, 1 << 16, "a" } });
+  for (int step = 0; step < 40; ++step) {
+    clock.Advance(Millis{ 50 });
+    for (const auto& suspect : members.Tick().confirm) {
+      members.Confirm(suspect, true, false);
+    }
+    ASSERT_FALSE(members.IsDead(Agent(1))) << step;
+  }
+}
+
 TEST(Membership, APartHealsAndWhoeverSeesFewSuspectsItself)
 {
   Fleet fleet(3, 7, 0);
