End searches for lost flows sooner after a power failure

Searches ended without a verdict, in four ways: (1) a process asked a seed for state before that had started, and this one pull kept all others waiting for the second that TCP takes to try again: views stayed apart; (2) agents that were stopped while servers were scaled in looked alive for three heartbeats, and each search of 40 agents met one; (3) a server that started again under a new id at its address stayed 'vanished' under the old one; (4) views of processes that have just started differ for some 300 ms in any case, and the caller's next packet comes after its deadline. Ruled out: the backend servers' own refusals (all asked servers handed the packets back), hop limit, records. Change: a pull that is not answered within 100 ms does not hold up others (PullSchedule); agents say when they stop and whether flows live beside them; the later start at an address counts; a search that ended because views differed is repeated three times, 100 ms apart (PostponedSearches). flow_not_found names the outcome, silent agents and whether views agreed. The search has a file of its own. Tests that failed first: PullSchedule, RelayFlow.Searches* (3), LoadBoard.AStoppedPeer*, FleetState.TheLaterStart*.

--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -23,6 +23,7 @@
   , meter_(aClock)
   , tracksSince_(aClock.Now())
   , trackedIdle_(kDefaultIdleTimeout)
+  , postponed_(aClock)
 {
 }
 
@@ -90,87 +91,9 @@
   aPort.ToBackend(aPacket);
 }
 
-auto AgentRelay::Search(Packet& aPacket, RelayPort& aPort) -> void
-{
-  const auto* route = state_.FindRoute(aPacket.flow.address);
-  if (!route) {
-    return;
-  }
-  aPacket.tag.wantsHint = true;
-  if (FollowRecord(aPacket, aPort)) {
-    return;
-  }
-  // A flow that is alive had a packet here within the idle timeout; until
-  // entries were kept for that long, only the backend server knows.
-  const bool unsure = clock_.Now() - tracksSince_ < IdleTimeout();
-  if (unsure && !aPacket.returned && !meter_.IsDown() &&
-      !flows_.contains(aPacket.flow) && route->Allows(Service())) {
-    ++counters_.delivered;
-    aPort.ToBackend(aPacket);
-    return;
-  }
-  auto& tag = aPacket.tag;
-  SearchStep step;
-  if (tag.searching) {
-    step = order_.Next(*route, aPacket.flow, init_.self);
-    tag.complete &= tag.view == order_.ViewOf(*route);
-  } else {
-    step = order_.First(*route, aPacket.flow);
-    if (step.agent == init_.self) {
-      step = order_.Next(*route, aPacket.flow, init_.self);
-    }
-    tag.searching = true;
-    tag.complete = true;
-    tag.view = order_.ViewOf(*route);
-  }
-  tag.complete &= !step.skipped;
-  if (!step.agent || tag.hops >= kMaxSearchHops) {
-    EndSearch(aPacket, aPort);
-    return;
-  }
-  ++counters_.searched;
-  ++tag.hops;
-  aPort.ToAgent(*step.agent, aPacket);
-}
-
-auto AgentRelay::FollowRecord(Packet& aPacket, RelayPort& aPort) -> bool
-{
-  if (aPacket.tag.followedRecord) {
-    return false;
-  }
-  const auto record = records_.find(aPacket.flow);
-  if (record == records_.end() || record->second.agent == init_.self) {
-    return false;
-  }
-  ++counters_.followed;
-  ++aPacket.tag.hops;
-  aPacket.tag.followedRecord = true;
-  // If the record is wrong, its agent starts a search of its own.
-  aPacket.tag.searching = false;
-  aPort.ToAgent(record->second.agent, aPacket);
-  return true;
-}
-
-auto AgentRelay::EndSearch(const Packet& aPacket, RelayPort& aPort) -> void
-{
-  ++counters_.searchEnded;
-  const bool lost = aPacket.tag.complete && !aPacket.resets;
-  log_.Write(EventLevel::Warning,
-             Event("flow_not_found")
-               .With("flow", ToText(aPacket.flow))
-               .With("every_agent_asked", aPacket.tag.complete)
-               .With("hops", aPacket.tag.hops)
-               .With("targets", state_.Targets().revision)
-               .With("age_ms", state_.Digest().age.count())
-               .Text());
-  if (lost) {
-    ++counters_.resets;
-    aPort.ResetCaller(aPacket.flow, aPacket.acknowledgement);
-  }
-}
-
 auto AgentRelay::OnBackendPacket(Packet aPacket, RelayPort& aPort) -> void
 {
+  meter_.NoteAlive();
   if (aPacket.returned) {
     ++counters_.returned;
     OnReturned(aPacket, aPort);
@@ -411,4 +334,15 @@
   return report;
 }
 
+auto AgentRelay::FinalReport() -> BackendLoad
+{
+  auto report = Report();
+  const bool hasFlows = std::ranges::any_of(flows_, [](const auto& aEntry) {
+    return aEntry.second.phase != Phase::Finished;
+  });
+  // No flow opens at a backend server without its agent.
+  report.empty = meter_.IsClosed() || (KnowsItsFlows() && !hasFlows);
+  return report;
+}
+
 } // namespace damaskwalk
--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -9,6 +9,7 @@
 #include "relay/content_reader.h"
 #include "relay/opening_queue.h"
 #include "relay/packet.h"
+#include "relay/postponed_searches.h"
 #include "relay/search_order.h"
 
 #include <boost/unordered/unordered_flat_map.hpp>
@@ -81,14 +82,16 @@
   // Routes, targets or peers changed: records may belong to other directory
   // agents, and flows may be idle for longer than before.
   auto OnStateChanged() -> void;
-  // Tries another agent for first packets that went without an answer. To be
-  // called every few tens of milliseconds.
-  auto ExpireOpenings(RelayPort& aPort) -> void;
+  // Tries another agent for first packets that went without an answer, and
+  // repeats searches. To be called every few tens of milliseconds.
+  auto RunDue(RelayPort& aPort) -> void;
   // Sends what was collected while packets were handled.
   auto Flush(RelayPort& aPort) -> void;
   auto Tick(RelayPort& aPort) -> void;
 
   auto Report() -> BackendLoad;
+  // The last report of a process that ends: says whether flows live here.
+  auto FinalReport() -> BackendLoad;
   auto Flows() const -> std::size_t { return flows_.size(); }
   auto Waiting() const -> std::size_t { return queue_.Size(); }
   auto Records() const -> std::size_t { return records_.size(); }
@@ -172,9 +175,13 @@
                 RelayPort& aPort) -> void;
   // Passes on a later packet of a flow that is not here.
   auto Search(Packet& aPacket, RelayPort& aPort) -> void;
+  // Entries were kept for the idle timeout: every live flow has one.
+  auto KnowsItsFlows() const -> bool;
   auto FollowRecord(Packet& aPacket, RelayPort& aPort) -> bool;
   // No agent has the flow. Its caller is told when that is certain.
   auto EndSearch(const Packet& aPacket, RelayPort& aPort) -> void;
+  auto SearchAgain(RelayPort& aPort) -> void;
+  auto ExpireOpenings(RelayPort& aPort) -> void;
   auto Deliver(OwnFlow& aOwn, const Packet& aPacket, RelayPort& aPort) -> void;
   auto NoteCallerData(OwnFlow& aOwn, const Packet& aPacket) -> void;
   auto NoteBackendData(OwnFlow& aOwn, const Packet& aPacket) -> void;
@@ -208,6 +215,7 @@
   boost::unordered_flat_map<FlowKey, Record, KeyHash> records_;
   std::unordered_map<FlowKey, OpeningPacket, KeyHash> openings_;
   OpeningQueue queue_;
+  PostponedSearches postponed_;
   // Opened flows whose first request is on its way, oldest first.
   std::deque<std::pair<TimePoint, FlowKey>> awaited_;
   std::uint32_t awaitedCount_ = 0;
--- a/src/relay/agent_relay_opening.cpp
+++ b/src/relay/agent_relay_opening.cpp
@@ -249,6 +249,12 @@
   aPort.ToAgent(*next, aPacket);
 }
 
+auto AgentRelay::RunDue(RelayPort& aPort) -> void
+{
+  ExpireOpenings(aPort);
+  SearchAgain(aPort);
+}
+
 auto AgentRelay::ExpireOpenings(RelayPort& aPort) -> void
 {
   AdmitWaiting(aPort);
--- /dev/null
+++ b/src/relay/agent_relay_search.cpp
@@ -0,0 +1,112 @@
+// How an agent looks for the flow of a later packet that is not here.
+
+#include "relay/agent_relay.h"
+#include "relay/limits.h"
+
+namespace damaskwalk {
+
+auto AgentRelay::Search(Packet& aPacket, RelayPort& aPort) -> void
+{
+  const auto* route = state_.FindRoute(aPacket.flow.address);
+  if (!route) {
+    return;
+  }
+  aPacket.tag.wantsHint = true;
+  if (FollowRecord(aPacket, aPort)) {
+    return;
+  }
+  // A flow that is alive had a packet here within the idle timeout; until
+  // entries were kept for that long, only the backend server knows.
+  if (!KnowsItsFlows() && !aPacket.returned && !meter_.IsDown() &&
+      !flows_.contains(aPacket.flow) && route->Allows(Service())) {
+    ++counters_.delivered;
+    aPort.ToBackend(aPacket);
+    return;
+  }
+  auto& tag = aPacket.tag;
+  SearchStep step;
+  if (tag.searching) {
+    step = order_.Next(*route, aPacket.flow, init_.self);
+    tag.complete &= tag.view == order_.ViewOf(*route);
+  } else {
+    step = order_.First(*route, aPacket.flow);
+    if (step.agent == init_.self) {
+      step = order_.Next(*route, aPacket.flow, init_.self);
+    }
+    tag.searching = true;
+    tag.complete = true;
+    tag.view = order_.ViewOf(*route);
+  }
+  tag.complete &= !step.skipped;
+  if (!step.agent || tag.hops >= kMaxSearchHops) {
+    EndSearch(aPacket, aPort);
+    return;
+  }
+  ++counters_.searched;
+  ++tag.hops;
+  aPort.ToAgent(*step.agent, aPacket);
+}
+
+auto AgentRelay::KnowsItsFlows() const -> bool
+{
+  return clock_.Now() - tracksSince_ >= IdleTimeout();
+}
+
+auto AgentRelay::FollowRecord(Packet& aPacket, RelayPort& aPort) -> bool
+{
+  if (aPacket.tag.followedRecord) {
+    return false;
+  }
+  const auto record = records_.find(aPacket.flow);
+  if (record == records_.end() || record->second.agent == init_.self) {
+    return false;
+  }
+  ++counters_.followed;
+  ++aPacket.tag.hops;
+  aPacket.tag.followedRecord = true;
+  // If the record is wrong, its agent starts a search of its own.
+  aPacket.tag.searching = false;
+  aPort.ToAgent(record->second.agent, aPacket);
+  return true;
+}
+
+auto AgentRelay::EndSearch(const Packet& aPacket, RelayPort& aPort) -> void
+{
+  ++counters_.searchEnded;
+  const auto* route = state_.FindRoute(aPacket.flow.address);
+  const auto silent = route ? order_.SilentAgents(*route) : std::string();
+  const bool agree = route && order_.ViewOf(*route) == aPacket.tag.view;
+  const char* outcome = "dropped";
+  if (aPacket.tag.complete && !aPacket.resets) {
+    outcome = "reset";
+    ++counters_.resets;
+    aPort.ResetCaller(aPacket.flow, aPacket.acknowledgement);
+  } else if (silent.empty() && !aPacket.resets && postponed_.Add(aPacket)) {
+    outcome = "search_again";
+  }
+  log_.Write(EventLevel::Warning,
+             Event("flow_not_found")
+               .With("flow", ToText(aPacket.flow))
+               .With("outcome", outcome)
+               .With("every_agent_asked", aPacket.tag.complete)
+               .With("hops", aPacket.tag.hops)
+               .With("silent_agents", silent.empty() ? "none" : silent)
+               .With("views_agree", agree)
+               .With("targets", state_.Targets().revision)
+               .With("age_ms", state_.Digest().age.count())
+               .Text());
+}
+
+auto AgentRelay::SearchAgain(RelayPort& aPort) -> void
+{
+  for (const auto& held : postponed_.TakeDue()) {
+    auto& packet = held->Get();
+    packet.returned = false;
+    packet.tag.hops = 0;
+    packet.tag.searching = false;
+    packet.tag.followedRecord = false;
+    OnLaterPacket(packet, aPort);
+  }
+}
+
+} // namespace damaskwalk
--- a/src/relay/backend_meter.cpp
+++ b/src/relay/backend_meter.cpp
@@ -150,6 +150,12 @@
 {
   unfitUntil_ = clock_.Now() + kUnresponsiveFor;
   downUntil_ = unfitUntil_;
+  closed_ = true;
+}
+
+auto BackendMeter::NoteAlive() -> void
+{
+  closed_ = false;
 }
 
 auto BackendMeter::IsDown() const -> bool
--- a/src/relay/backend_meter.h
+++ b/src/relay/backend_meter.h
@@ -39,11 +39,15 @@
   auto NoteUnanswered() -> void;
   // The backend server's process is gone; until it opens a flow again.
   auto NoteDown() -> void;
+  // A packet came from it.
+  auto NoteAlive() -> void;
 
   // New flows may be opened here.
   auto IsFit() const -> bool;
   // Its process was found gone a moment ago.
   auto IsDown() const -> bool;
+  // Its process was found gone, and nothing came from its port since.
+  auto IsClosed() const -> bool { return closed_; }
   auto InFlight() const -> std::uint32_t { return inFlight_; }
   auto Fill(BackendLoad& aReport) -> void;
 
@@ -71,6 +75,7 @@
   std::uint32_t unanswered_ = 0;
   TimePoint unfitUntil_;
   TimePoint downUntil_;
+  bool closed_ = false; // its port was, and nothing came from it since
 };
 
 } // namespace damaskwalk
--- a/src/relay/fleet_state.cpp
+++ b/src/relay/fleet_state.cpp
@@ -218,13 +218,13 @@
 
 auto FleetState::Rebuild() -> void
 {
-  // Where an address was registered more than once, the best standing counts
-  // and then the later start.
+  // Where an address was registered more than once, the later start counts: the
+  // former process cannot hold the port any more.
   std::ranges::stable_sort(known_, [](const auto& aLeft, const auto& aRight) {
-    if (aLeft.standing != aRight.standing) {
-      return aLeft.standing < aRight.standing;
+    if (aLeft.target.bornMillis != aRight.target.bornMillis) {
+      return aLeft.target.bornMillis > aRight.target.bornMillis;
     }
-    return aLeft.target.bornMillis > aRight.target.bornMillis;
+    return aLeft.standing < aRight.standing;
   });
   byAgent_.clear();
   byService_.clear();
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -39,6 +39,11 @@
 // Routes change less often than targets: every second read asks for them.
 constexpr std::uint32_t kReadsPerRouteRead = 2;
 
+// State is pulled from one peer at a time; an answer takes a few round trips,
+// so that after this long another peer is asked as well.
+constexpr Millis kPullPatience{ 100 };
+constexpr std::size_t kPullsAtOnce = 4;
+
 // Flow tables. A balancer entry costs about 40 bytes, an agent's about 100.
 constexpr std::size_t kMaxBalancerFlows = 1U << 18;
 constexpr std::size_t kMaxAgentFlows = 1U << 16;
@@ -78,6 +83,13 @@
 constexpr std::uint8_t kMaxOpeningHops = 6;
 // Agents that a later packet may visit while its flow is looked for.
 constexpr std::uint8_t kMaxSearchHops = 120;
+// A search that ended because views differed is repeated after this long: state
+// spreads in a few round trips. The next packet of the flow starts anew.
+constexpr Millis kSearchAgainAfter{ 100 };
+constexpr std::uint32_t kSearchesAgain = 3;
+constexpr Millis kSearchesAgainWithin{ 1000 };
+// At most 1.5 MB of datagrams.
+constexpr std::size_t kMaxPostponedSearches = 1024;
 // A backend server that let first packets go unanswered is tried again after.
 constexpr Millis kUnresponsiveFor{ 500 };
 // A backend server that refused a first packet gets none for this long.
--- a/src/relay/load_board.cpp
+++ b/src/relay/load_board.cpp
@@ -25,6 +25,8 @@
   auto [found, isNew] = peers_.try_emplace(aIp);
   auto& peer = found->second;
   const bool restarted = !isNew && peer.incarnation != aHeartbeat.incarnation;
+  // An older datagram of a stopped process may come after its last one.
+  peer.stopped = aHeartbeat.stopping || (peer.stopped && !restarted);
   peer.role = aHeartbeat.role;
   peer.incarnation = aHeartbeat.incarnation;
   peer.digest = aHeartbeat.digest;
@@ -83,10 +85,16 @@
     return expected != expected_.end() &&
            now - expected->second > kSilentHeartbeats * period_;
   }
-  return now - peer->heardAt > kSilentHeartbeats * period_ ||
+  return peer->stopped || now - peer->heardAt > kSilentHeartbeats * period_ ||
          (peer->placedSince > 0 && now - peer->unansweredSince > kReportWithin);
 }
 
+auto LoadBoard::StoppedEmpty(std::uint32_t aIp) const -> bool
+{
+  const auto* peer = Find(aIp);
+  return peer && peer->stopped && peer->hasLoad && peer->load.empty;
+}
+
 auto LoadBoard::Tick() -> void
 {
   const auto now = clock_.Now();
--- a/src/relay/load_board.h
+++ b/src/relay/load_board.h
@@ -13,6 +13,7 @@
 {
   RelayRole role = RelayRole::Balancer;
   std::uint64_t incarnation = 0;
+  bool stopped = false; // it said so, and no successor was heard
   StateDigest digest;
   TimePoint heardAt;
   bool hasLoad = false;
@@ -38,9 +39,12 @@
   // First packets sent there since its load was reported.
   auto PlacedSince(std::uint32_t aIp) const -> std::uint32_t;
   auto Find(std::uint32_t aIp) const -> const PeerView*;
-  // Expected or heard once, and silent since for several heartbeats; or did not
-  // report its load after a first packet, as agents do at once.
+  // Stopped; or expected or heard once, and silent since for several
+  // heartbeats; or did not report its load after a first packet, as agents do
+  // at once.
   auto IsSilent(std::uint32_t aIp) const -> bool;
+  // It stopped, and no flow lives at its backend server.
+  auto StoppedEmpty(std::uint32_t aIp) const -> bool;
   // Sets how often peers send, as both sides derive it from the fleet's size.
   auto SetHeartbeatPeriod(Millis aPeriod) -> void { period_ = aPeriod; }
   auto HeartbeatPeriod() const -> Millis { return period_; }
--- a/src/relay/peer_messages.cpp
+++ b/src/relay/peer_messages.cpp
@@ -43,6 +43,7 @@
            aValue.draining,
            aValue.failing,
            aValue.onTrial,
+           aValue.empty,
            aValue.slots,
            aValue.inFlight,
            aValue.meanInFlightHundredths,
@@ -55,8 +56,12 @@
 auto serialize(Archive& aArchive, RelayHeartbeat& aValue) -> void
 {
   auto load = Bounded<1>(aValue.load);
-  aArchive(
-    aValue.role, aValue.incarnation, aValue.digest, aValue.wantsReply, load);
+  aArchive(aValue.role,
+           aValue.incarnation,
+           aValue.digest,
+           aValue.wantsReply,
+           aValue.stopping,
+           load);
 }
 
 template<class Archive>
--- a/src/relay/peer_messages.h
+++ b/src/relay/peer_messages.h
@@ -29,6 +29,8 @@
   bool draining = false;
   bool failing = false; // ejected: it answers, but badly
   bool onTrial = false; // ... and may be tried again
+  // Said at the end: no flow lives there.
+  bool empty = false;
   std::uint32_t slots = 1;
   std::uint32_t inFlight = 0; // requests without an answer
   // Requests without an answer, averaged over the last second, in hundredths.
@@ -46,6 +48,8 @@
   StateDigest digest;
   // The receiver shall answer with its own.
   bool wantsReply = false;
+  // The sender is about to end: an agent at once, a balancer when drained.
+  bool stopping = false;
   std::vector<BackendLoad> load; // one from agents, none from balancers
 };
 
--- a/src/relay/search_order.cpp
+++ b/src/relay/search_order.cpp
@@ -79,7 +79,7 @@
           heaviest = weight;
           step.agent = agent;
         }
-      } else if (known.standing != TargetStanding::Gone) {
+      } else if (MayHoldFlows(known)) {
         heaviestSilent = std::max(heaviestSilent, weight);
       }
     }
@@ -144,6 +144,12 @@
          !load_.IsSilent(ip);
 }
 
+auto SearchOrder::MayHoldFlows(const KnownTarget& aKnown) const -> bool
+{
+  return aKnown.standing != TargetStanding::Gone &&
+         !load_.StoppedEmpty(aKnown.target.agent.ip);
+}
+
 auto SearchOrder::NeedsFailing(ServiceId aService) const -> bool
 {
   std::size_t open = 0;
@@ -156,6 +162,26 @@
   return double(fit) < kLeastFitShare * double(open);
 }
 
+auto SearchOrder::SilentAgents(const RelayRoute& aRoute) const -> std::string
+{
+  constexpr std::size_t kNamed = 3;
+  std::string names;
+  std::size_t count = 0;
+  for (const auto& entry : aRoute.services) {
+    for (const auto index : state_.OfService(entry.service)) {
+      const auto& known = state_.Known()[index];
+      const auto& agent = known.target.agent;
+      if (!MayHoldFlows(known) || !load_.IsSilent(agent.ip) ||
+          ++count > kNamed) {
+        continue;
+      }
+      names += (names.empty() ? "" : ",") + ToText(agent) + "/" +
+               ToText(known.standing);
+    }
+  }
+  return names;
+}
+
 auto SearchOrder::ViewOf(const RelayRoute& aRoute) const -> std::uint8_t
 {
   constexpr std::uint64_t kViewMask = 0x1F;
--- a/src/relay/search_order.h
+++ b/src/relay/search_order.h
@@ -42,6 +42,9 @@
   // So few of the service's registered targets are fit that those that fail
   // have to be used as well.
   auto NeedsFailing(ServiceId aService) const -> bool;
+  // Registered agents of the route that are not heard: their addresses and
+  // standings as text, at most three of them.
+  auto SilentAgents(const RelayRoute& aRoute) const -> std::string;
   // Short hash of the agents that may hold flows of the route.
   auto ViewOf(const RelayRoute& aRoute) const -> std::uint8_t;
 
@@ -51,6 +54,8 @@
              const FlowKey& aFlow,
              std::uint64_t aWeight) const -> SearchStep;
 
+  // Its silence leaves a search incomplete.
+  auto MayHoldFlows(const KnownTarget& aKnown) const -> bool;
   auto TakesNewFlows(const KnownTarget& aKnown) const -> bool;
 
   const FleetState& state_;
--- a/src/relay_node/relay_peers.cpp
+++ b/src/relay_node/relay_peers.cpp
@@ -68,7 +68,7 @@
     Tell(aIp, PeerMessage{ MakeHeartbeat() });
   }
   state_.Confirm(aHeartbeat.digest);
-  if (aHeartbeat.digest.IsNewerThan(state_.Digest())) {
+  if (!aHeartbeat.stopping && aHeartbeat.digest.IsNewerThan(state_.Digest())) {
     StartPull(aIp);
   }
 }
@@ -79,8 +79,10 @@
   heartbeat.role = settings_.role;
   heartbeat.incarnation = incarnation_;
   heartbeat.digest = state_.Digest();
+  heartbeat.stopping = stopping_;
   if (agent_) {
-    heartbeat.load.push_back(agent_->Report());
+    heartbeat.load.push_back(stopping_ ? agent_->FinalReport()
+                                       : agent_->Report());
   }
   return heartbeat;
 }
@@ -137,7 +139,7 @@
   return peers;
 }
 
-auto RelayProcess::AnnounceDigest() -> void
+auto RelayProcess::AnnounceSelf() -> void
 {
   const PeerMessage message{ MakeHeartbeat() };
   for (const auto ip : KnownPeers()) {
@@ -194,10 +196,9 @@
 
 auto RelayProcess::StartPull(std::uint32_t aIp) -> void
 {
-  if (pulling_ || aIp == settings_.peers.ip) {
+  if (aIp == settings_.peers.ip || !pulls_.Begin(aIp)) {
     return;
   }
-  pulling_ = true;
   asio::co_spawn(init_.io, PullFrom(aIp), asio::detached);
 }
 
@@ -207,7 +208,7 @@
   const auto began = init_.clock.Now();
   const auto answer = co_await CallBulk(
     { aIp, settings_.peers.port }, EncodeStateRequest({ had }), kPullWithin);
-  pulling_ = false;
+  pulls_.End(aIp);
   if (answer.status != CallStatus::Replied) {
     co_return;
   }
@@ -267,7 +268,7 @@
     OnStateChanged("store");
   }
   if (served) {
-    AnnounceDigest();
+    AnnounceSelf();
   }
   FlushAll();
 }
--- a/src/relay_node/relay_process.cpp
+++ b/src/relay_node/relay_process.cpp
@@ -46,6 +46,7 @@
   , state_(aInit.clock)
   , load_(aInit.clock)
   , schedule_(aInit.clock)
+  , pulls_(aInit.clock)
   , incarnation_(std::random_device{}() | (std::uint64_t{ 1 } << 32))
   , packetSocket_(aInit.io, settings_.packets)
   , peerSocket_(aInit.io, settings_.peers)
@@ -262,7 +263,7 @@
   }
   lastTick_ = now;
   if (agent_) {
-    agent_->ExpireOpenings(*this);
+    agent_->RunDue(*this);
   }
   if (now >= nextSweep_) {
     nextSweep_ = now + kSweepPeriod;
@@ -354,6 +355,7 @@
   // An agent has nothing to hand over: the sooner its successor starts, the
   // fewer packets are lost.
   if (agent_ || drained || now - stopBegan_ >= settings_.stopWithin) {
+    AnnounceSelf();
     FlushAll();
     init_.io.stop();
   }
--- a/src/relay_node/relay_process.h
+++ b/src/relay_node/relay_process.h
@@ -5,6 +5,7 @@
 
 #include "relay/agent_relay.h"
 #include "relay/balancer_relay.h"
+#include "relay/pull_schedule.h"
 #include "relay/read_schedule.h"
 #include "relay_node/bounded_log.h"
 #include "relay_node/datagram_socket.h"
@@ -104,7 +105,7 @@
   auto MakeHeartbeat() -> RelayHeartbeat;
   auto SendHeartbeats() -> void;
   auto ReportLoadTo(std::uint32_t aIp) -> void;
-  auto AnnounceDigest() -> void;
+  auto AnnounceSelf() -> void;
   auto KnownPeers() const -> std::unordered_set<std::uint32_t>;
 
   // State.
@@ -134,6 +135,7 @@
   FleetState state_;
   LoadBoard load_;
   ReadSchedule schedule_;
+  PullSchedule pulls_;
   std::unique_ptr<FirstPacketPlacement> placement_;
   std::unique_ptr<BalancerRelay> balancer_;
   std::unique_ptr<AgentRelay> agent_;
@@ -157,7 +159,6 @@
   TimePoint lastCallerPacket_;
   TimePoint lastTick_;
   bool reading_ = false;
-  bool pulling_ = false;
   bool storeLost_ = false;
   bool stopping_ = false;
   TimePoint stopBegan_;
--- a/tests/relay_flow_test.cpp
+++ b/tests/relay_flow_test.cpp
@@ -128,6 +128,139 @@
   }
 }
 
+// Pattern: servers are scaled in, one after the other, while callers learn
+// that a power failure took their flows. Each search would meet an agent that
+// has just stopped.
+TEST(RelayFlow, SearchesPassAgentsThatStopped)
+{
+  RelayModel model({ 20, 3 }, 2);
+  const auto flows = OpenSome(model, 30);
+  for (std::size_t i = 0; i < 20; ++i) {
+    model.CrashBackend(i);
+    model.StartBackend(i);
+    model.RestartAgent(i);
+  }
+  model.RestartBalancer(0);
+  model.Run(Millis{ 600 });
+  for (std::size_t i = 15; i < 20; ++i) {
+    model.SetDraining(i);
+  }
+  model.Publish();
+  for (std::size_t i = 15; i < 20; ++i) {
+    model.Register(i, false);
+    model.CrashBackend(i);
+    model.LeaveAgent(i);
+  }
+  model.Publish();
+  model.Run(Millis{ 50 });
+  for (const auto flow : flows) {
+    model.Ask(flow, 0);
+  }
+  model.Run(Millis{ 200 });
+  for (const auto flow : flows) {
+    EXPECT_TRUE(model.Flow(flow).reset);
+  }
+}
+
+// As above, but the registrations of the stopped servers have not lapsed yet.
+TEST(RelayFlow, SearchesPassAgentsThatStoppedEmpty)
+{
+  RelayModel model({ 20, 3 }, 2);
+  const auto flows = OpenSome(model, 30);
+  for (std::size_t i = 0; i < 20; ++i) {
+    model.CrashBackend(i);
+    model.RestartAgent(i);
+    if (i < 15) {
+      model.StartBackend(i);
+    }
+  }
+  model.RestartBalancer(0);
+  model.Run(Millis{ 600 });
+  // The first searches find the closed ports.
+  const std::size_t half = flows.size() / 2;
+  for (std::size_t again = 0; again < 6; ++again) {
+    for (std::size_t i = 0; i < half; ++i) {
+      model.Ask(flows[i], 0);
+    }
+    model.Run(Millis{ 70 });
+  }
+  for (std::size_t i = 15; i < 20; ++i) {
+    model.LeaveAgent(i);
+  }
+  model.Run(Millis{ 50 });
+  for (std::size_t i = half; i < flows.size(); ++i) {
+    model.Ask(flows[i], 0);
+  }
+  model.Run(Millis{ 200 });
+  for (const auto flow : flows) {
+    EXPECT_TRUE(model.Flow(flow).reset);
+  }
+}
+
+// Pattern: an agent is restarted beside a backend server that holds flows.
+TEST(RelayFlow, DoesNotResetWhileAnAgentWithFlowsIsStopped)
+{
+  RelayModel model({ 7, 3 }, 2);
+  model.Run(Millis{ 20000 });
+  const auto flows = OpenSome(model, 30);
+  for (std::size_t i = 0; i < 7; ++i) {
+    model.LeaveAgent(i);
+  }
+  model.RestartBalancer(0);
+  model.Run(Millis{ 50 });
+  for (const auto flow : flows) {
+    model.Ask(flow, 0);
+  }
+  for (std::size_t i = 0; i < 7; ++i) {
+    model.RestartAgent(i);
+  }
+  model.Run(Millis{ 600 });
+  for (const auto flow : flows) {
+    EXPECT_FALSE(model.Flow(flow).reset);
+    model.Ask(flow, 0);
+  }
+  model.Run(Millis{ 300 });
+  for (const auto flow : flows) {
+    EXPECT_FALSE(model.Flow(flow).reset);
+  }
+}
+
+// Pattern: all VMs have just lost power and started at different moments, so
+// that processes know different targets. Their views agree soon, but the caller
+// sends its packet again only after its deadline.
+TEST(RelayFlow, SearchesAgainWhileViewsDiffer)
+{
+  RelayModel model({ 12, 3 }, 2);
+  const auto flows = OpenSome(model, 30);
+  for (std::size_t i = 0; i < 12; ++i) {
+    model.CrashBackend(i);
+    model.StartBackend(i);
+    model.RestartAgent(i);
+  }
+  model.RestartBalancer(0);
+  model.Run(Millis{ 600 });
+  for (std::size_t i = 6; i < 12; ++i) {
+    model.Register(i, false);
+  }
+  model.PublishTo([](std::uint32_t aIp) { return aIp % 2 == 0; });
+  model.Run(Millis{ 2100 });
+  for (const auto flow : flows) {
+    model.Ask(flow, 0);
+  }
+  model.Run(Millis{ 60 });
+  const auto reset = std::ranges::count_if(
+    flows, [&](std::size_t aFlow) { return model.Flow(aFlow).reset; });
+  EXPECT_LT(reset, 30) << "views were to differ";
+  for (std::size_t i = 6; i < 12; ++i) {
+    model.Register(i, true);
+  }
+  model.Publish();
+  model.Run(Millis{ 300 });
+  for (const auto flow : flows) {
+    EXPECT_TRUE(model.Flow(flow).reset);
+  }
+}
+
 TEST(RelayFlow, DoesNotResetWhileAnAgentIsSilent)
 {
   RelayModel model({ 7, 3 }, 2);
--- a/tests/relay_model.cpp
+++ b/tests/relay_model.cpp
@@ -495,25 +495,32 @@
   }
 }
 
+auto RelayModel::SendBeat(Target& aTarget, bool aStopping) -> void
+{
+  auto& node = *aTarget.node;
+  RelayHeartbeat beat;
+  beat.role = RelayRole::Agent;
+  beat.incarnation = node.incarnation;
+  beat.digest = node.state.Digest();
+  beat.stopping = aStopping;
+  beat.load.push_back(aStopping ? node.agent->FinalReport()
+                                : node.agent->Report());
+  const PeerMessage message{ beat };
+  for (auto& balancer : balancers_) {
+    node.port.Tell(balancer->port.ip, message);
+  }
+  for (auto& peer : targets_) {
+    if (peer.get() != &aTarget && peer->service == aTarget.service) {
+      node.port.Tell(peer->ip, message);
+    }
+  }
+}
+
 auto RelayModel::Heartbeats() -> void
 {
   for (auto& target : targets_) {
-    if (!target->node->running) {
-      continue;
-    }
-    RelayHeartbeat beat;
-    beat.role = RelayRole::Agent;
-    beat.incarnation = target->node->incarnation;
-    beat.digest = target->node->state.Digest();
-    beat.load.push_back(target->node->agent->Report());
-    const PeerMessage message{ beat };
-    for (auto& balancer : balancers_) {
-      target->node->port.Tell(balancer->port.ip, message);
-    }
-    for (auto& peer : targets_) {
-      if (peer != target && peer->service == target->service) {
-        target->node->port.Tell(peer->ip, message);
-      }
+    if (target->node->running) {
+      SendBeat(*target, false);
     }
   }
   for (auto& balancer : balancers_) {
@@ -531,7 +538,7 @@
 {
   for (auto& target : targets_) {
     if (target->node->running) {
-      target->node->agent->ExpireOpenings(target->node->port);
+      target->node->agent->RunDue(target->node->port);
       target->node->agent->Tick(target->node->port);
       target->node->state.Tick();
     }
@@ -566,6 +573,12 @@
   targets_[aTarget]->node->running = false;
 }
 
+auto RelayModel::LeaveAgent(std::size_t aTarget) -> void
+{
+  SendBeat(*targets_[aTarget], true);
+  StopAgent(aTarget);
+}
+
 auto RelayModel::CrashBackend(std::size_t aTarget) -> void
 {
   auto& target = *targets_[aTarget];
--- a/tests/relay_model.h
+++ b/tests/relay_model.h
@@ -78,6 +78,7 @@
   auto RestartBalancer(std::size_t aBalancer) -> void;
   auto RestartAgent(std::size_t aTarget) -> void;
   auto StopAgent(std::size_t aTarget) -> void;    // silent until restarted
+  auto LeaveAgent(std::size_t aTarget) -> void;   // says so, then stops
   auto CrashBackend(std::size_t aTarget) -> void; // port closed
   auto StartBackend(std::size_t aTarget) -> void;
   auto FreezeBackend(std::size_t aTarget, bool aFrozen) -> void;
@@ -137,6 +138,7 @@
   auto AtPeer(std::uint32_t aTo, std::uint32_t aFrom, std::string aBytes)
     -> void;
   auto Heartbeats() -> void;
+  auto SendBeat(Target& aTarget, bool aStopping) -> void;
   auto Ticks() -> void;
   auto Set() const -> TargetSet;
   auto Table() const -> RouteTable;
--- a/tests/relay_state_test.cpp
+++ b/tests/relay_state_test.cpp
@@ -5,6 +5,7 @@
 #include "relay/load_board.h"
 #include "relay/peer_messages.h"
 #include "relay/placement.h"
+#include "relay/pull_schedule.h"
 #include "relay/read_schedule.h"
 #include "test_support.h"
 
@@ -99,6 +100,24 @@
   EXPECT_TRUE(state.OfService(ServiceIdOf("s")).empty());
 }
 
+// Pattern: a server starts again under a new id while its former registration
+// has not lapsed; then it drains and leaves. One process a port can live.
+TEST(FleetState, TheLaterStartAtAnAddressCounts)
+{
+  ManualClock clock;
+  FleetState state(clock);
+  auto former = Target(1);
+  former.bornMillis = 1000;
+  auto later = Target(1, TargetState::Draining);
+  later.id = "later";
+  later.bornMillis = 2000;
+  state.OfferTargets(SetOf(1, { former, later }), Millis{ 0 });
+  ASSERT_NE(state.FindAgent(former.agent), nullptr);
+  EXPECT_EQ(state.FindAgent(former.agent)->standing, TargetStanding::Leaving);
+  state.OfferTargets(SetOf(2, {}), Millis{ 0 });
+  EXPECT_EQ(state.FindAgent(former.agent)->standing, TargetStanding::Gone);
+}
+
 TEST(FleetState, EqualTargetsConfirmEachOther)
 {
   ManualClock clock;
@@ -143,6 +162,33 @@
   EXPECT_TRUE(schedule.IsDue(7, std::nullopt));
 }
 
+// Pattern: all VMs lose power. The first peer that is asked has not started,
+// and its answer would be a second away.
+TEST(PullSchedule, ASilentPeerHoldsNoOtherPullUp)
+{
+  ManualClock clock;
+  PullSchedule pulls(clock);
+  EXPECT_TRUE(pulls.Begin(1));
+  EXPECT_FALSE(pulls.Begin(2)) << "the answer is due";
+  clock.Advance(kPullPatience);
+  EXPECT_FALSE(pulls.Begin(1)) << "asked already";
+  EXPECT_TRUE(pulls.Begin(2));
+  pulls.End(2);
+  EXPECT_TRUE(pulls.Begin(2)) << "the silent one does not count any more";
+}
+
+TEST(PullSchedule, PullsAtOnceAreBounded)
+{
+  ManualClock clock;
+  PullSchedule pulls(clock);
+  std::uint32_t begun = 0;
+  for (std::uint32_t peer = 1; peer <= 100; ++peer) {
+    clock.Advance(kPullPatience);
+    begun += pulls.Begin(peer) ? 1 : 0;
+  }
+  EXPECT_EQ(begun, kPullsAtOnce);
+}
+
 TEST(ReadSchedule, ARefusedReaderWaits)
 {
   ManualClock clock;
@@ -173,6 +219,25 @@
   EXPECT_TRUE(board.Hear(1, beat));
 }
 
+TEST(LoadBoard, AStoppedPeerIsSilentUntilItsSuccessorIsHeard)
+{
+  ManualClock clock;
+  LoadBoard board(clock);
+  RelayHeartbeat beat;
+  beat.role = RelayRole::Agent;
+  beat.incarnation = 1;
+  board.Hear(1, beat);
+  auto last = beat;
+  last.stopping = true;
+  board.Hear(1, last);
+  EXPECT_TRUE(board.IsSilent(1));
+  board.Hear(1, beat);
+  EXPECT_TRUE(board.IsSilent(1)) << "an older datagram that came late";
+  beat.incarnation = 2;
+  EXPECT_TRUE(board.Hear(1, beat));
+  EXPECT_FALSE(board.IsSilent(1));
+}
+
 TEST(LoadBoard, APeerThatNeverAnswersIsSilent)
 {
   ManualClock clock;
