Count the wait inside the server when first packets are ordered

The queue took a first packet for punctual when one service time fitted before its objective; the round trips after the opening and the requests that the server has already (up to three times its slots) come on top, so it opened the oldest, which just missed, before those that could be on time. Ruled out: placement (all servers delivered alike), refusals (20 in a second). Change: TimeToAnswer adds both.

--- a/src/relay/agent_relay_opening.cpp
+++ b/src/relay/agent_relay_opening.cpp
@@ -183,7 +183,10 @@
   const bool closed =
     !meter_.IsFit() || !own || own->standing >= TargetStanding::Leaving;
   while (queue_.Size() > 0 && (closed || HasRoom())) {
-    Dispatch(*queue_.Take(now, meter_.ServiceTime()), aPort);
+    const auto inside = meter_.InFlight() + awaitedCount_;
+    const auto time =
+      TimeToAnswer(inside, meter_.Slots(), meter_.ServiceTime());
+    Dispatch(*queue_.Take(now, time), aPort);
   }
 }
 
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -68,6 +68,9 @@
 // slots, and beyond that it breaks requests off.
 constexpr std::uint32_t kRequestsPerSlot = 2;
 constexpr std::uint32_t kRequestsOnTheWay = 2;
+// Two round trips between caller and agent: the answer to the first packet, the
+// request after it, and the way of the answer.
+constexpr Millis kRequestAfterOpening{ 12 };
 // An opened flow counts as such a request until its first request comes, at
 // most for this long.
 constexpr Millis kFirstRequestWithin{ 100 };
--- a/src/relay/opening_queue.cpp
+++ b/src/relay/opening_queue.cpp
@@ -18,11 +18,11 @@
   found->tag = aOpening.tag;
 }
 
-auto OpeningQueue::Take(TimePoint aNow, std::chrono::microseconds aServiceTime)
+auto OpeningQueue::Take(TimePoint aNow, std::chrono::microseconds aTimeToAnswer)
   -> std::optional<WaitingOpening>
 {
   const auto rank = [&](const WaitingOpening& aEntry) {
-    const bool late = aNow + aServiceTime > aEntry.onTimeUntil;
+    const bool late = aNow + aTimeToAnswer > aEntry.onTimeUntil;
     return std::pair(late, aEntry.priority);
   };
   const auto best = std::ranges::min_element(waiting_, {}, rank);
@@ -48,6 +48,14 @@
     waiting_, [&](const auto& aEntry) { return aEntry.flow == aFlow; });
 }
 
+auto TimeToAnswer(std::size_t aInside,
+                  std::uint32_t aSlots,
+                  std::chrono::microseconds aServiceTime)
+  -> std::chrono::microseconds
+{
+  return kRequestAfterOpening + ExpectedWait(aInside, aSlots, aServiceTime);
+}
+
 auto ExpectedWait(std::size_t aAhead,
                   std::uint32_t aSlots,
                   std::chrono::microseconds aServiceTime)
--- a/src/relay/opening_queue.h
+++ b/src/relay/opening_queue.h
@@ -38,8 +38,8 @@
   auto Add(WaitingOpening aOpening) -> void;
   // The next one to open: the most urgent kind among those that can still be
   // on time, oldest first; then the others, whose answer is late either way.
-  // @param aServiceTime of one request.
-  auto Take(TimePoint aNow, std::chrono::microseconds aServiceTime)
+  // @param aTimeToAnswer from the opening of a flow to the answer on it.
+  auto Take(TimePoint aNow, std::chrono::microseconds aTimeToAnswer)
     -> std::optional<WaitingOpening>;
   // Drops those that their caller has given up; it tries again on its own.
   // @return how many.
@@ -51,6 +51,14 @@
   std::vector<WaitingOpening> waiting_; // in order of arrival
 };
 
+// From the opening of a flow to the answer to its first request: the caller
+// sends that a round trip later, and it queues at the backend server.
+// @param aInside requests that the backend server has already.
+auto TimeToAnswer(std::size_t aInside,
+                  std::uint32_t aSlots,
+                  std::chrono::microseconds aServiceTime)
+  -> std::chrono::microseconds;
+
 // Time until a first packet that arrives now would get its answer.
 // @param aAhead requests and first packets before it.
 auto ExpectedWait(std::size_t aAhead,
