--- a/src/relay/fleet_state.cpp
+++ b/src/relay/fleet_state.cpp
@@ -201,13 +201,6 @@
   return found == byAgent_.end() ? nullptr : &known_[found->second];
 }
 
-auto FleetState::FindId(const std::string& aId) const -> const KnownTarget*
-{
-  const auto found = std::ranges::find_if(
-    known_, [&aId](const auto& aKnown) { return aKnown.target.id == aId; });
-  return found == known_.end() ? nullptr : &*found;
-}
-
 auto FleetState::OfService(ServiceId aService) const
   -> const std::vector<std::size_t>&
 {
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -142,7 +142,6 @@
   auto Targets() const -> const TargetSet& { return targets_; }
   auto FindRoute(const Endpoint& aAddress) const -> const RelayRoute*;
   auto FindAgent(const Endpoint& aAgent) const -> const KnownTarget*;
-  auto FindId(const std::string& aId) const -> const KnownTarget*;
   auto Known() const -> const std::vector<KnownTarget>& { return known_; }
   // Indices into Known of the targets of a service.
   auto OfService(ServiceId aService) const -> const std::vector<std::size_t>&;
--- /dev/null
+++ b/tests/relay_model_trouble.cpp
@@ -0,0 +1,176 @@
+// What a test does to the model: starts, stops, registrations, faults.
+
+#include "relay_model_parts.h"
+
+namespace damaskwalk {
+
+auto RelayModel::RestartBalancer(std::size_t aBalancer) -> void
+{
+  const auto ip = balancers_[aBalancer]->port.ip;
+  const auto state = balancers_[aBalancer]->state.Targets();
+  balancers_[aBalancer] = MakeNode(ip, std::nullopt);
+  balancers_[aBalancer]->state.OfferRoutes(Table());
+  balancers_[aBalancer]->state.OfferTargets(state, Millis{ 0 });
+}
+
+auto RelayModel::RestartAgent(std::size_t aTarget) -> void
+{
+  auto& target = *targets_[aTarget];
+  const auto state = target.node->state.Targets();
+  target.node = MakeNode(target.ip, aTarget);
+  target.node->state.OfferRoutes(Table());
+  target.node->state.OfferTargets(state, Millis{ 0 });
+}
+
+auto RelayModel::StopAgent(std::size_t aTarget) -> void
+{
+  targets_[aTarget]->node->running = false;
+}
+
+auto RelayModel::LeaveAgent(std::size_t aTarget) -> void
+{
+  SendBeat(*targets_[aTarget], true);
+  StopAgent(aTarget);
+}
+
+auto RelayModel::CrashBackend(std::size_t aTarget) -> void
+{
+  auto& target = *targets_[aTarget];
+  target.alive = false;
+  target.flows.clear();
+  target.halfOpen.clear();
+  target.queue.clear();
+  target.busy = 0;
+}
+
+auto RelayModel::StartBackend(std::size_t aTarget) -> void
+{
+  auto& target = *targets_[aTarget];
+  if (!target.alive) {
+    target.alive = true;
+    target.life = ++lives_;
+  }
+}
+
+auto RelayModel::Reuse(std::size_t aTarget, std::size_t aService) -> void
+{
+  CrashBackend(aTarget);
+  targets_[aTarget]->service = aService;
+  StartBackend(aTarget);
+}
+
+auto RelayModel::FreezeBackend(std::size_t aTarget, bool aFrozen) -> void
+{
+  targets_[aTarget]->frozen = aFrozen;
+}
+
+auto RelayModel::SetDraining(std::size_t aTarget) -> void
+{
+  targets_[aTarget]->draining = true;
+}
+
+auto RelayModel::Register(std::size_t aTarget, bool aRegistered) -> void
+{
+  targets_[aTarget]->registered = aRegistered;
+}
+
+auto RelayModel::SetBreaking(std::size_t aTarget, double aShare) -> void
+{
+  targets_[aTarget]->breaking = aShare;
+}
+
+auto RelayModel::SetWork(std::size_t aTarget, Millis aWork) -> void
+{
+  targets_[aTarget]->work = aWork;
+}
+
+auto RelayModel::SetSlots(std::size_t aTarget, std::uint32_t aSlots) -> void
+{
+  targets_[aTarget]->slots = aSlots;
+}
+
+auto RelayModel::Set() const -> TargetSet
+{
+  TargetSet set;
+  set.revision = revision_;
+  for (const auto& target : targets_) {
+    if (!target->registered) {
+      continue;
+    }
+    RelayTarget entry;
+    entry.id =
+      "t" + std::to_string(target->ip) + "-" + std::to_string(target->life);
+    entry.service = ServiceIdOf(ServiceName(target->service));
+    entry.agent = { target->ip, kAgentPort };
+    entry.failureDomain = "domain-" + std::to_string(target->ip % 3);
+    entry.slots = target->slots;
+    entry.state = target->draining ? TargetState::Draining : TargetState::Ready;
+    entry.bornMillis = static_cast<std::int64_t>(target->life);
+    set.targets.push_back(entry);
+  }
+  return set;
+}
+
+auto RelayModel::Table() const -> RouteTable
+{
+  RouteTable table;
+  table.version = static_cast<DocumentVersion>(idleTimeout_.count());
+  table.idleTimeout = idleTimeout_;
+  for (std::size_t service = 0; service < services_; ++service) {
+    RelayRoute route;
+    route.name = "route-" + std::to_string(service);
+    route.address = AddressOf(service);
+    route.services.push_back({ ServiceIdOf(ServiceName(service)), 1 });
+    table.routes.push_back(route);
+  }
+  return table;
+}
+
+auto RelayModel::Publish() -> void
+{
+  PublishTo([](std::uint32_t) { return true; });
+}
+
+auto RelayModel::PublishTo(std::function<bool(std::uint32_t)> aWho) -> void
+{
+  ++revision_;
+  const auto set = Set();
+  const auto offer = [&](Node& aNode) {
+    if (!aWho(aNode.port.ip)) {
+      return;
+    }
+    const bool routes = aNode.state.OfferRoutes(Table());
+    const bool targets = aNode.state.OfferTargets(set, Millis{ 0 });
+    if ((routes || targets) && aNode.agent) {
+      aNode.agent->OnStateChanged();
+    }
+  };
+  for (auto& target : targets_) {
+    offer(*target->node);
+  }
+  for (auto& balancer : balancers_) {
+    offer(*balancer);
+  }
+}
+
+auto RelayModel::TargetIp(std::size_t aTarget) const -> std::uint32_t
+{
+  return targets_[aTarget]->ip;
+}
+
+auto RelayModel::Agent(std::size_t aTarget) -> AgentRelay&
+{
+  return *targets_[aTarget]->node->agent;
+}
+
+auto RelayModel::Balancer(std::size_t aBalancer) -> BalancerRelay&
+{
+  return *balancers_[aBalancer]->balancer;
+}
+
+auto RelayModel::Opened(std::size_t aTarget) const -> std::uint32_t
+{
+  return targets_[aTarget]->opened;
+}
+
+} // namespace damaskwalk
--- a/tests/relay_state_test.cpp
+++ b/tests/relay_state_test.cpp
@@ -38,9 +38,12 @@
 auto StandingOf(const FleetState& aState, std::uint16_t aNumber)
   -> TargetStanding
 {
-  const auto* known = aState.FindId("t" + std::to_string(aNumber));
-  EXPECT_NE(known, nullptr);
-  return known ? known->standing : TargetStanding::Gone;
+  const auto id = "t" + std::to_string(aNumber);
+  const auto& known = aState.Known();
+  const auto found = std::ranges::find_if(
+    known, [&id](const auto& aKnown) { return aKnown.target.id == id; });
+  EXPECT_NE(found, known.end());
+  return found != known.end() ? found->standing : TargetStanding::Gone;
 }
 
 } // namespace
