Announce a process as soon as a peer gave it its first state

Cause: an agent that stops says so now; one that starts while the store is dark was held for stopped until its next regular heartbeat, up to half a second. Change: it tells everybody when it has its first state, as it does after its first read of the store.

--- a/src/relay_node/relay_peers.cpp
+++ b/src/relay_node/relay_peers.cpp
@@ -217,6 +217,7 @@
   leaf::try_handle_all(
     [&]() -> leaf::result<void> {
       BOOST_LEAF_AUTO(reply, DecodeStateReply(answer.bytes));
+      const bool starting = !state_.HasState();
       bool changed = false;
       for (auto& table : reply.routes) {
         changed |= state_.OfferRoutes(std::move(table));
@@ -227,6 +228,10 @@
       if (changed) {
         OnStateChanged("peer");
       }
+      if (starting && state_.HasState()) {
+        // Peers may still hold the process before this one for stopped.
+        AnnounceSelf();
+      }
       return {};
     },
     [this] { ++peerGarbage_; });
