--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -64,8 +64,8 @@
 // this it is taken as not responding and another one is tried.
 constexpr Millis kOpeningWithin{ 60 };
 // Most requests that a backend server is given at once: its slots twice over,
-// and a few that are on their way. Its own queue holds four times its slots, and
-// beyond that it breaks requests off.
+// and a few that are on their way. Its own queue holds four times its slots,
+// and beyond that it breaks requests off.
 constexpr std::uint32_t kRequestsPerSlot = 2;
 constexpr std::uint32_t kRequestsOnTheWay = 2;
 // Two round trips between caller and agent: the answer to the first packet, the
--- a/src/relay/opening_queue.h
+++ b/src/relay/opening_queue.h
@@ -51,9 +51,9 @@
   std::vector<WaitingOpening> waiting_; // in order of arrival
 };
 
-// Requests that a backend server is given at once: enough to keep its slots busy
-// while a caller's next request is on its way. The rest waits where it can be
-// put in order.
+// Requests that a backend server is given at once: enough to keep its slots
+// busy while a caller's next request is on its way. The rest waits where it can
+// be put in order.
 auto RequestsInside(std::uint32_t aSlots,
                     std::chrono::microseconds aServiceTime) -> std::uint32_t;
 
