Keep the idle timeout's default in one place

Cause: AgentRelay and BalancerRelay each turned a configuration without an idle timeout into the default, with the same expression. Change: FleetState::IdleTimeout, which both call. Conclusion: one rule, beside the table that it reads.

--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -27,12 +27,6 @@
 {
 }
 
-auto AgentRelay::IdleTimeout() const -> Millis
-{
-  const auto timeout = state_.Routes().idleTimeout;
-  return timeout.count() > 0 ? timeout : kDefaultIdleTimeout;
-}
-
 auto AgentRelay::Service() const -> ServiceId
 {
   const auto* own = state_.FindAgent(init_.self);
@@ -271,11 +265,11 @@
   if (const auto* own = state_.FindAgent(init_.self)) {
     meter_.SetSlots(own->target.slots);
   }
-  if (IdleTimeout() > trackedIdle_) {
+  if (state_.IdleTimeout() > trackedIdle_) {
     // Entries that were dropped by the shorter timeout may be alive.
     tracksSince_ = clock_.Now();
   }
-  trackedIdle_ = IdleTimeout();
+  trackedIdle_ = state_.IdleTimeout();
   for (auto& [flow, own] : flows_) {
     own.registeredAt = TimePoint{};
   }
@@ -301,7 +295,7 @@
 auto AgentRelay::Tick(RelayPort& aPort) -> void
 {
   const auto now = clock_.Now();
-  const auto idle = IdleTimeout() + kIdleFlowSlack;
+  const auto idle = state_.IdleTimeout() + kIdleFlowSlack;
   boost::unordered::erase_if(flows_, [this, now, idle](auto& aEntry) {
     auto& own = aEntry.second;
     const auto kept = own.phase == Phase::Finished ? kFinishedFlowKept : idle;
--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -197,7 +197,6 @@
                  RelayPort& aPort) -> void;
   auto Register(const FlowKey& aFlow, OwnFlow& aOwn) -> void;
   auto TellBalancer(const Packet& aPacket, RelayPort& aPort) -> void;
-  auto IdleTimeout() const -> Millis;
 
   AgentRelayInit init_;
   const FleetState& state_;
--- a/src/relay/agent_relay_search.cpp
+++ b/src/relay/agent_relay_search.cpp
@@ -49,7 +49,7 @@
 
 auto AgentRelay::KnowsItsFlows() const -> bool
 {
-  return clock_.Now() - tracksSince_ >= IdleTimeout();
+  return clock_.Now() - tracksSince_ >= state_.IdleTimeout();
 }
 
 auto AgentRelay::FollowRecord(Packet& aPacket, RelayPort& aPort) -> bool
--- a/src/relay/balancer_relay.cpp
+++ b/src/relay/balancer_relay.cpp
@@ -142,9 +142,7 @@
 auto BalancerRelay::Tick() -> void
 {
   const auto now = clock_.Now();
-  const auto timeout = state_.Routes().idleTimeout;
-  const auto idle =
-    (timeout.count() > 0 ? timeout : kDefaultIdleTimeout) + kIdleFlowSlack;
+  const auto idle = state_.IdleTimeout() + kIdleFlowSlack;
   boost::unordered::erase_if(flows_, [now, idle](const auto& aEntry) {
     const auto kept = aEntry.second.finished ? kFinishedFlowKept : idle;
     return now - aEntry.second.lastPacket > kept;
--- a/src/relay/fleet_state.cpp
+++ b/src/relay/fleet_state.cpp
@@ -189,6 +189,12 @@
   return std::chrono::duration_cast<Millis>(clock_.Now() - confirmed_);
 }
 
+auto FleetState::IdleTimeout() const -> Millis
+{
+  const auto timeout = routes_.idleTimeout;
+  return timeout.count() > 0 ? timeout : kDefaultIdleTimeout;
+}
+
 auto FleetState::FindRoute(const Endpoint& aAddress) const -> const RelayRoute*
 {
   const auto found = byAddress_.find(aAddress);
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -140,6 +140,8 @@
   auto Age() const -> std::optional<Millis>;
   auto Routes() const -> const RouteTable& { return routes_; }
   auto Targets() const -> const TargetSet& { return targets_; }
+  // For how long flows may be idle; a default until a configuration states it.
+  auto IdleTimeout() const -> Millis;
   auto FindRoute(const Endpoint& aAddress) const -> const RelayRoute*;
   auto FindAgent(const Endpoint& aAgent) const -> const KnownTarget*;
   auto Known() const -> const std::vector<KnownTarget>& { return known_; }
