Key homes: ask again before the switch, forget roles between memberships; check pauses on their own clock

A target that leaves a service and comes back kept the start of its roles and its records, and had no former targets to pull from, so it granted what the removed home had granted. It now forgets both while it is no target, and the agent gives it the service's former targets. KeyHome.AReturnedHomeGrantsNothingThatARemovedOneGranted failed first (Granted, wanted Unknown).

A pull that reached a peer before its switch counted as that peer's switch and ended the pull. The peer now says that it uses other targets and is asked again. KeyHome.AHomeThatHasNotSwitchedIsAskedAgain failed first. Ruled out: a change of the message's layout (the mark is a value that older builds ignore).

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -17,6 +17,15 @@
 constexpr Millis kPollPeriod{ 20 };
 constexpr Millis kLatePacketDelay{ 400 };
 
+auto AgentsOf(const Service& aService) -> std::vector<Endpoint>
+{
+  std::vector<Endpoint> agents;
+  for (const auto& backend : aService.backends) {
+    agents.push_back(backend.agent);
+  }
+  return agents;
+}
+
 } // namespace
 
 Agent::Agent(Node& aNode, const AgentSettings& aSettings)
@@ -206,12 +215,13 @@
     // the agents that remain in its service.
     own = aNow->FindById(former->id);
   }
-  std::vector<Endpoint> targets;
-  if (own) {
-    for (const auto& backend : own->backends) {
-      targets.push_back(backend.agent);
+  if (own && !former) {
+    // Added to the service: the roles come from its former targets.
+    if (const auto* before = aBefore->FindById(own->id)) {
+      board_.keys.SetTargets(AgentsOf(*before));
     }
   }
+  const auto targets = own ? AgentsOf(*own) : std::vector<Endpoint>();
   node_.Board().members.SetPeers(targets);
   board_.keys.SetTargets(targets);
   executor_.OnDocument(*aNow);
--- a/src/core/key_home.cpp
+++ b/src/core/key_home.cpp
@@ -53,11 +53,14 @@
   }
   const auto now = clock_.Now();
   RefreshLease(now);
-  const bool first = targets_.empty();
-  hadLeaseAtSwitch_ =
-    !first && pendingRejoins_.empty() && now <= leaseUntil_ + kTakeoverDelay;
-  if (!first) {
+  const bool wasTarget =
+    std::ranges::find(targets_, init_.self) != targets_.end();
+  hadLeaseAtSwitch_ = wasTarget && pendingRejoins_.empty() &&
+                      now <= leaseUntil_ + kTakeoverDelay;
+  if (wasTarget) {
     ownRoleSince_ = AllRolesSince();
+  } else {
+    ForgetRoles();
   }
   formerTargets_ = targets_;
   formerDigest_ = targetsDigest_;
@@ -94,6 +97,18 @@
   }
 }
 
+// While this process was no target, other homes granted and ended attempts, so
+// that neither its records nor its times hold any more.
+auto KeyHome::ForgetRoles() -> void
+{
+  records_.clear();
+  evictionOrder_.clear();
+  ownRoleSince_ = 0;
+  leaseUntil_ = {};
+  holdsLease_ = false;
+  hasEverHeldLease_ = false;
+}
+
 auto KeyHome::AllRolesSince() const -> std::int64_t
 {
   // No other home can have granted a claim issued from this time on, since its
--- a/src/core/key_home.h
+++ b/src/core/key_home.h
@@ -120,6 +120,7 @@
     std::uint64_t targetsDigest = 0;
   };
 
+  auto ForgetRoles() -> void;
   auto HoldsLeaseLocked(TimePoint aNow) const -> bool;
   // True if a majority of the targets has omitted it from their heard lists.
   // False for kDeadTimeout after this process handed the role back to it.
@@ -164,8 +165,8 @@
   // Start of the roles inherited from former targets, by former target.
   std::unordered_map<Endpoint, std::int64_t, KeyHash> inheritedSince_;
   std::unordered_set<Endpoint, KeyHash> pendingPulls_;
-  // Peers that sent a heartbeat under the present targets, or replied to a
-  // pull, even if the reply was incomplete.
+  // Peers that sent a heartbeat, or replied to a pull, under the present
+  // targets.
   std::unordered_set<Endpoint, KeyHash> switchedPeers_;
   // Start of the role of each peer that resigned.
   std::unordered_map<Endpoint, std::int64_t, KeyHash> resignedPeers_;
--- a/src/core/key_home_roles.cpp
+++ b/src/core/key_home_roles.cpp
@@ -117,6 +117,7 @@
   const std::lock_guard lock(mutex_);
   KeyPullReply reply;
   if (aTargetsDigest != targetsDigest_) {
+    reply.roleSinceMillis = KeyPullReply::kOtherTargets;
     return reply;
   }
   // A requester with other former targets asks for other roles than those that
@@ -178,7 +179,10 @@
   -> void
 {
   const std::lock_guard lock(mutex_);
-  if (!pendingPulls_.contains(aFrom)) {
+  // A peer that still uses other targets may hold a lease under them and go on
+  // granting; it is asked again.
+  if (!pendingPulls_.contains(aFrom) ||
+      aReply.roleSinceMillis == KeyPullReply::kOtherTargets) {
     return;
   }
   MergeRecords(aReply);
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -13,6 +13,9 @@
 
 constexpr Millis kProbeTimeout{ 250 };
 constexpr std::size_t kIndirectProbes = 2;
+// A paused member that dies becomes suspect at the next check and dead
+// kDeadTimeout - kSuspectTimeout later, together within two seconds.
+constexpr Millis kPausedCheckPeriod{ 700 };
 constexpr std::size_t kMaxFactsPerMessage = 8;
 constexpr std::uint32_t kMaxFlaps = 3;
 constexpr Millis kFlapWindow{ 30000 };
@@ -251,8 +254,8 @@
     return;
   }
   if (aMember.state == MemberState::Paused &&
-      now - aMember.probedAt > kSuspectTimeout) {
-    aMember.probedAt = now;
+      now - aMember.portCheckedAt > kPausedCheckPeriod) {
+    aMember.portCheckedAt = now;
     aActions.portChecks.push_back(aEndpoint);
   }
 }
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -155,6 +155,7 @@
     TimePoint lastHeard;
     TimePoint suspectSince;
     TimePoint probedAt;
+    TimePoint portCheckedAt; // last port check of a paused member
     TimePoint indirectAckAt; // last acknowledgement through another member
     bool refused = false;    // its VM refused a port check
     bool heard = false;
--- a/src/core/membership_facts.cpp
+++ b/src/core/membership_facts.cpp
@@ -49,6 +49,9 @@
   if (aState == MemberState::Suspect || aState == MemberState::Paused) {
     aMember.suspectSince = now;
   }
+  if (aState == MemberState::Paused) {
+    aMember.portCheckedAt = now;
+  }
   changes_.push_back({ aEndpoint, aMember.role, aMember.state, aState, false });
   aMember.state = aState;
   Watch(aEndpoint);
@@ -224,6 +227,12 @@
     SuspectAndCheck(aFact.member, member);
     return;
   }
+  // The port may have accepted before the member died.
+  if (aFact.state == MemberState::Paused &&
+      member.state == MemberState::Suspect) {
+    pendingPortChecks_.push_back(aFact.member);
+    return;
+  }
   // A report does not override the silence that this process observes.
   const bool silentHere =
     member.peer && clock_.Now() - member.lastHeard > kSuspectTimeout;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -287,6 +287,10 @@
 
 struct KeyPullReply
 {
+  // Value of roleSinceMillis while the sender still uses other targets than the
+  // requester; the reply is then incomplete.
+  static constexpr std::int64_t kOtherTargets = -1;
+
   std::uint8_t complete = 0;
   // To a rejoining home, 1: the sender answered for its keys meanwhile.
   std::uint8_t tookOver = 0;
--- a/tests/key_home_test.cpp
+++ b/tests/key_home_test.cpp
@@ -316,6 +316,157 @@
   });
 }
 
+// Homes that exchange heartbeats and records in lockstep, without loss.
+class Lockstep
+{
+public:
+  Lockstep(std::uint16_t aCount)
+  {
+    for (std::uint16_t i = 0; i < aCount; ++i) {
+      homes_.emplace_back(KeyHomeInit{ Agent(i), Millis{ 0 } }, clock_);
+    }
+  }
+
+  auto Home(std::size_t aIndex) -> KeyHome& { return homes_[aIndex]; }
+  auto Now() const -> std::int64_t { return WallMillis(clock_.Wall()); }
+
+  auto SetTargets(const std::vector<std::uint16_t>& aHomes,
+                  const std::vector<std::uint16_t>& aTargets) -> void
+  {
+    std::vector<Endpoint> targets;
+    for (const auto target : aTargets) {
+      targets.push_back(Agent(target));
+    }
+    for (const auto home : aHomes) {
+      homes_[home].SetTargets(targets);
+    }
+  }
+
+  auto Run(Millis aTime) -> void
+  {
+    for (Millis done{ 0 }; done < aTime; done += Millis{ 200 }) {
+      clock_.Advance(Millis{ 200 });
+      for (std::uint16_t from = 0; from < homes_.size(); ++from) {
+        SendHeartbeat(from);
+      }
+      for (std::uint16_t i = 0; i < homes_.size(); ++i) {
+        Pull(i);
+        Rejoin(i);
+      }
+    }
+  }
+
+  auto Pull(std::uint16_t aHome) -> void
+  {
+    auto& home = homes_[aHome];
+    for (const auto& peer : home.PendingPulls()) {
+      home.OnPullReply(
+        peer,
+        homes_[Index(peer)].OnPull(
+          Agent(aHome), home.TargetsDigest(), home.FormerDigest()));
+    }
+  }
+
+  // A key with the given order of homes among the targets.
+  auto KeyAt(std::size_t aHome, const std::vector<Endpoint>& aOrder) const
+    -> std::string
+  {
+    for (int i = 0;; ++i) {
+      const auto key = "k" + std::to_string(i);
+      const auto order = homes_[aHome].HomeOrder("c", key);
+      if (std::equal(aOrder.begin(), aOrder.end(), order.begin())) {
+        return key;
+      }
+    }
+  }
+
+  auto Claim(std::size_t aHome,
+             const std::string& aKey,
+             std::uint64_t aAttempt,
+             std::int64_t aIssued) -> ClaimResult
+  {
+    return homes_[aHome].Claim({ {}, aKey, "c", { 1, aAttempt }, aIssued })
+      .result;
+  }
+
+private:
+  static auto Index(const Endpoint& aHome) -> std::size_t
+  {
+    return aHome.port - 7100U;
+  }
+
+  auto SendHeartbeat(std::uint16_t aFrom) -> void
+  {
+    auto& home = homes_[aFrom];
+    const auto sequence = home.BeginHeartbeat();
+    const auto heard = home.HeardList();
+    for (std::size_t to = 0; to < homes_.size(); ++to) {
+      if (to != aFrom) {
+        homes_[to].OnHeartbeat(
+          Agent(aFrom), 1, sequence, home.TargetsDigest(), heard);
+      }
+    }
+  }
+
+  auto Rejoin(std::uint16_t aHome) -> void
+  {
+    auto& home = homes_[aHome];
+    for (const auto& peer : home.PendingRejoins()) {
+      home.OnRejoinReply(peer,
+                         homes_[Index(peer)].OnRejoin(
+                           Agent(aHome), 1, home.TargetsDigest()));
+    }
+  }
+
+  ManualClock clock_;
+  std::deque<KeyHome> homes_;
+};
+
+// A change of the targets reaches the homes a few milliseconds apart. A home
+// that asks for records before its peer has switched must ask again, and must
+// not take the peer's role in the meantime.
+TEST(KeyHome, AHomeThatHasNotSwitchedIsAskedAgain)
+{
+  Lockstep homes(3);
+  homes.SetTargets({ 0, 1, 2 }, { 0, 1, 2 });
+  homes.Run(Millis{ 6000 });
+  const auto key = homes.KeyAt(0, { Agent(1), Agent(0) });
+  const auto issued = homes.Now();
+  homes.SetTargets({ 0 }, { 0, 2 });
+  homes.Pull(0);
+  EXPECT_EQ(homes.Home(0).PendingPulls().size(), 2U);
+  homes.SetTargets({ 1, 2 }, { 0, 2 });
+  homes.Pull(0);
+  EXPECT_TRUE(homes.Home(0).PendingPulls().empty());
+  homes.Run(Millis{ 600 });
+  EXPECT_EQ(homes.Claim(0, key, 1, issued), ClaimResult::Granted);
+}
+
+// A target is removed, and added again by the change that removes the home of a
+// key. It knows nothing of the grants made meanwhile.
+TEST(KeyHome, AReturnedHomeGrantsNothingThatARemovedOneGranted)
+{
+  Lockstep homes(5);
+  homes.SetTargets({ 0, 1, 2, 3, 4 }, { 0, 1, 2, 3, 4 });
+  homes.Run(Millis{ 6000 });
+  const auto key = homes.KeyAt(0, { Agent(0), Agent(1) });
+  homes.SetTargets({ 0, 1, 2, 3, 4 }, { 1, 2, 3, 4 });
+  homes.Run(Millis{ 4000 });
+  homes.SetTargets({ 0 }, {}); // an unrelated edit: not in the service
+  homes.Run(Millis{ 4000 });
+  const auto issued = homes.Now();
+  EXPECT_EQ(homes.Claim(1, key, 1, issued), ClaimResult::Granted);
+  homes.SetTargets({ 0, 1, 2, 3, 4 }, { 0, 2, 3, 4 });
+  homes.Run(Millis{ 1000 });
+  EXPECT_EQ(homes.Claim(0, key, 2, issued), ClaimResult::Unknown);
+  homes.Run(Millis{ 2000 });
+  EXPECT_EQ(homes.Claim(0, key, 3, issued), ClaimResult::Unknown);
+  EXPECT_EQ(homes.Claim(0, key + "-new", 4, homes.Now()),
+            homes.Home(0).HomeOrder("c", key + "-new")[0] == Agent(0)
+              ? ClaimResult::Granted
+              : ClaimResult::NotHome);
+}
+
 TEST(KeyHome, AnswerIsRecordedAndNotRunAllowsRetry)
 {
   ManualClock clock;
