Decode what is known of a configuration, and uploads as a kind

Unknown kinds are handled as at most once, missing figures get their default, a route without an address or a service is skipped, and what is no configuration at all is refused with its reason and not read again as a failure of the store. Peer messages may carry fields and kinds of a later release.

FindingLog: one line a change of the findings, counters by effect.

--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -18,6 +18,7 @@
   Idempotent,
   AtMostOnce,
   Download, // idempotent, with a large answer
+  Upload,   // at most once, with a large request
 };
 
 struct WeightedService
--- a/src/relay/peer_messages.cpp
+++ b/src/relay/peer_messages.cpp
@@ -171,30 +171,27 @@
   } catch (const std::exception&) {
     return leaf::new_error(WireError::Truncated);
   }
-  if (buffer.Remaining() != 0) {
-    return leaf::new_error(WireError::Malformed);
-  }
+  // Bytes after the known fields are fields of a later release.
   return {};
 }
 
-// False if a value is outside its enumeration; such messages are refused.
-auto HasValidEnums(const StateReply& aReply) -> bool
+// Replaces kinds and states of a later release by the most careful known ones.
+auto ReplaceUnknownWords(StateReply& aReply) -> void
 {
-  for (const auto& table : aReply.routes) {
-    for (const auto& route : table.routes) {
-      if (route.kind > RouteKind::Download) {
-        return false;
+  for (auto& table : aReply.routes) {
+    for (auto& route : table.routes) {
+      if (route.kind > RouteKind::Upload) {
+        route.kind = RouteKind::AtMostOnce;
       }
     }
   }
-  for (const auto& set : aReply.targets) {
-    for (const auto& target : set.targets) {
+  for (auto& set : aReply.targets) {
+    for (auto& target : set.targets) {
       if (target.state > TargetState::Draining) {
-        return false;
+        target.state = TargetState::Draining;
       }
     }
   }
-  return true;
 }
 
 } // namespace
@@ -263,7 +260,8 @@
   StateReply reply;
   BOOST_LEAF_CHECK(Decode(aBytes, [&reply](InArchive& aArchive) {
     aArchive(reply);
-    return HasValidEnums(reply);
+    ReplaceUnknownWords(reply);
+    return true;
   }));
   return reply;
 }
--- a/src/relay/peer_messages.h
+++ b/src/relay/peer_messages.h
@@ -1,7 +1,9 @@
 #pragma once
 
 // Messages between relays: small datagrams, and a request with a reply over TCP
-// to fetch newer state.
+// to fetch newer state. Later releases may append fields to a message and add
+// kinds of messages: a decoder ignores the bytes after the fields that it
+// knows, and reports WireError::UnknownKind for a kind that it does not know.
 
 #include "relay/fleet_state.h"
 #include "wire/frame.h"
--- a/src/relay_node/interfaces.h
+++ b/src/relay_node/interfaces.h
@@ -54,16 +54,42 @@
 template<class T>
 using ReadResult = std::variant<T, StateSourceError>;
 
+// What became of a stored value with a part that could not be decoded.
+enum class DecodeEffect : std::uint8_t
+{
+  DefaultUsed,  // the field has its default
+  EntrySkipped, // the entry is not used; the others are
+  AllRefused,   // the whole value is not used; the former one stays in force
+};
+
+// A part of a stored value that this release cannot decode.
+struct DecodeFinding
+{
+  std::string entry; // name of the route or target; empty: the whole value
+  std::string field; // empty: the entry as a whole
+  DecodeEffect effect = DecodeEffect::EntrySkipped;
+
+  auto operator==(const DecodeFinding&) const -> bool = default;
+};
+
+template<class T>
+struct Decoded
+{
+  T value;
+  std::vector<DecodeFinding> findings;
+};
+
 // Reads targets and routes from the platform's store.
 class StateSource
 {
 public:
   virtual ~StateSource() = default;
   virtual auto ReadTargets()
-    -> boost::asio::awaitable<ReadResult<TargetSet>> = 0;
-  // @return nothing if the routes did not change since the last read.
-  virtual auto ReadRoutes()
-    -> boost::asio::awaitable<ReadResult<std::optional<RouteTable>>> = 0;
+    -> boost::asio::awaitable<ReadResult<Decoded<TargetSet>>> = 0;
+  // @return no value if the routes did not change since the last read, or if
+  // the new configuration was refused as a whole; then a finding says so.
+  virtual auto ReadRoutes() -> boost::asio::awaitable<
+    ReadResult<Decoded<std::optional<RouteTable>>>> = 0;
   // Calls made so far, including failed ones.
   virtual auto Calls() const -> std::uint64_t = 0;
 };
--- a/src/relay_node/relay_metrics.cpp
+++ b/src/relay_node/relay_metrics.cpp
@@ -13,17 +13,18 @@
 class MetricList
 {
 public:
-  auto Counter(const char* aName, const char* aHelp, double aValue) -> void
+  auto Counter(const std::string& aName, const char* aHelp, double aValue)
+    -> void
   {
     auto& metric = Add(aName, aHelp, prometheus::MetricType::Counter);
     metric.counter.value = aValue;
   }
-  auto Gauge(const char* aName, const char* aHelp, double aValue) -> void
+  auto Gauge(const std::string& aName, const char* aHelp, double aValue) -> void
   {
     auto& metric = Add(aName, aHelp, prometheus::MetricType::Gauge);
     metric.gauge.value = aValue;
   }
-  auto Histogram(const char* aName,
+  auto Histogram(const std::string& aName,
                  const char* aHelp,
                  const prometheus::ClientMetric& aValue) -> void
   {
@@ -35,11 +36,12 @@
   }
 
 private:
-  auto Add(const char* aName, const char* aHelp, prometheus::MetricType aType)
-    -> prometheus::ClientMetric&
+  auto Add(const std::string& aName,
+           const char* aHelp,
+           prometheus::MetricType aType) -> prometheus::ClientMetric&
   {
     prometheus::MetricFamily family;
-    family.name = std::string("damaskwalk_") + aName;
+    family.name = "damaskwalk_" + aName;
     family.help = aHelp;
     family.type = aType;
     family.metric.emplace_back();
@@ -124,6 +126,26 @@
               report.serviceMicros / 1e6);
 }
 
+auto AddFindings(MetricList& aList,
+                 const char* aSource,
+                 const FindingLog& aFindings) -> void
+{
+  const auto source = std::string(aSource);
+  const auto& counts = aFindings.Counts();
+  aList.Counter(source + "_defaults_used_total",
+                "Fields replaced by their default, once a version",
+                double(counts.defaults));
+  aList.Counter(source + "_skipped_total",
+                "Entries that could not be used, once a version",
+                double(counts.skipped));
+  aList.Counter(source + "_refused_total",
+                "Versions refused as a whole",
+                double(counts.refused));
+  aList.Gauge(source + "_refused",
+              "1 while the newest version read is refused",
+              aFindings.IsRefused() ? 1 : 0);
+}
+
 } // namespace
 
 auto RelayProcess::MetricsText() const -> std::string
@@ -151,6 +173,11 @@
   list.Counter("garbage_peer_messages_total",
                "Unreadable messages of peers",
                double(malformedPeerMessages_));
+  list.Counter("unknown_peer_messages_total",
+               "Messages of peers of an unknown kind",
+               double(unknownPeerMessages_));
+  AddFindings(list, "routes", routeFindings_);
+  AddFindings(list, "targets", targetFindings_);
   list.Counter("log_lines_dropped_total",
                "Log lines over the rate",
                double(init_.log.Dropped()));
--- a/src/relay_node/relay_peers.cpp
+++ b/src/relay_node/relay_peers.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/leaf/handle_errors.hpp>
+#include <boost/leaf/pred.hpp>
 
 #include <algorithm>
 
@@ -51,6 +52,9 @@
       }
       return {};
     },
+    [this](leaf::match<WireError, WireError::UnknownKind>) {
+      ++unknownPeerMessages_;
+    },
     [this] { ++malformedPeerMessages_; });
 }
 
@@ -255,15 +259,18 @@
   } else {
     const auto took =
       std::chrono::duration_cast<Millis>(init_.clock.Now() - began);
-    changed |= state_.UpdateTargets(std::get<TargetSet>(targets), took);
+    const auto& read = std::get<Decoded<TargetSet>>(targets);
+    targetFindings_.Update(read.value.revision, read.findings);
+    changed |= state_.UpdateTargets(read.value, took);
   }
   if (succeeded && wantsRoutes) {
     auto routes = co_await init_.source.ReadRoutes();
     if (const auto* error = std::get_if<StateSourceError>(&routes)) {
       OnStoreError("routes", *error);
       succeeded = false;
-    } else if (auto& table = std::get<std::optional<RouteTable>>(routes)) {
-      changed |= state_.UpdateRoutes(std::move(*table));
+    } else {
+      changed |=
+        OnRoutesRead(std::get<Decoded<std::optional<RouteTable>>>(routes));
     }
   }
   readingStore_ = false;
@@ -280,6 +287,18 @@
   FlushAll();
 }
 
+auto RelayProcess::OnRoutesRead(Decoded<std::optional<RouteTable>>& aRead)
+  -> bool
+{
+  if (!aRead.value && aRead.findings.empty()) {
+    return false; // unchanged
+  }
+  const auto version =
+    aRead.value ? aRead.value->version : state_.Routes().version;
+  routeFindings_.Update(version, aRead.findings);
+  return aRead.value && state_.UpdateRoutes(std::move(*aRead.value));
+}
+
 auto RelayProcess::OnStoreError(const char* aWhat, StateSourceError aError)
   -> void
 {
--- a/src/relay_node/relay_process.h
+++ b/src/relay_node/relay_process.h
@@ -9,6 +9,7 @@
 #include "relay/read_schedule.h"
 #include "relay_node/bounded_log.h"
 #include "relay_node/datagram_socket.h"
+#include "relay_node/finding_log.h"
 #include "relay_node/http_endpoint.h"
 #include "relay_node/interfaces.h"
 
@@ -121,6 +122,8 @@
   auto PullFrom(std::uint32_t aIp) -> Task;
   auto StartPull(std::uint32_t aIp) -> void;
   auto ReadStore() -> Task;
+  // @return true if other routes came into force.
+  auto OnRoutesRead(Decoded<std::optional<RouteTable>>& aRead) -> bool;
   auto OnStoreError(const char* aWhat, StateSourceError aError) -> void;
   auto OnStoreReadSucceeded() -> void;
   auto OnStateChanged(const char* aCause) -> void;
@@ -142,6 +145,8 @@
   PeerTable peers_;
   ReadSchedule readSchedule_;
   PullSchedule pullSchedule_;
+  FindingLog routeFindings_;
+  FindingLog targetFindings_;
   std::unique_ptr<FirstPacketPlacement> placement_;
   std::unique_ptr<BalancerRelay> balancer_;
   std::unique_ptr<AgentRelay> agent_;
@@ -170,6 +175,7 @@
   TimePoint stopBegan_;
   std::uint64_t malformedPackets_ = 0;
   std::uint64_t malformedPeerMessages_ = 0;
+  std::uint64_t unknownPeerMessages_ = 0; // of a kind that a later release has
 };
 
 } // namespace damaskwalk
