Measure uploads from their last byte

A request counted as in flight, and its service time ran, from its first packet. The agent now reads the request's length from its head, follows which bytes arrived (RequestArrival), and counts the request from its last byte. Room is kept for a flow for 100 ms from its opening and again from its first packet.

--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -120,14 +120,15 @@
   }
   OnBackendData(own, aPacket);
   if (aPacket.resets && own.phase != Phase::Finished) {
+    const bool requestLost = own.requestInFlight || own.requestArriving;
     log_.Write(EventLevel::Warning,
                Event("backend_reset_flow")
                  .With("flow", ToText(aPacket.flow))
                  .With("opened", own.phase == Phase::Open)
-                 .With("request_waiting", own.requestInFlight)
+                 .With("request_waiting", requestLost)
                  .With("in_flight", meter_.InFlight())
                  .Text());
-    if (own.requestInFlight) {
+    if (requestLost) {
       ++counters_.failures;
       OnOutcome(true, "reset");
     }
@@ -187,12 +188,13 @@
                                RelayPort& aPort) -> void
 {
   ++counters_.resets;
-  log_.Write(EventLevel::Warning,
-             Event("flow_reset")
-               .With("flow", ToText(aFlow))
-               .With("cause", aCause)
-               .With("request_waiting", aOwn.requestInFlight)
-               .Text());
+  log_.Write(
+    EventLevel::Warning,
+    Event("flow_reset")
+      .With("flow", ToText(aFlow))
+      .With("cause", aCause)
+      .With("request_waiting", aOwn.requestInFlight || aOwn.requestArriving)
+      .Text());
   Finish(aOwn);
   aPort.ResetCaller(aFlow, aSequence);
 }
@@ -207,6 +209,7 @@
 auto AgentRelay::Finish(OwnFlow& aOwn) -> void
 {
   StopAwaitingRequest(aOwn);
+  aOwn.requestArriving = false;
   if (aOwn.requestInFlight) {
     aOwn.requestInFlight = false;
     meter_.AbandonRequest();
--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -10,6 +10,7 @@
 #include "relay/opening_queue.h"
 #include "relay/packet.h"
 #include "relay/postponed_searches.h"
+#include "relay/request_arrival.h"
 #include "relay/search_order.h"
 
 #include <boost/unordered/unordered_flat_map.hpp>
@@ -48,7 +49,7 @@
 {
 public:
   virtual ~AnswerObserver() = default;
-  // @param aTook from the first packet of the request to that of its answer.
+  // @param aTook from the last byte of the request to the first of its answer.
   virtual auto OnAnswer(std::chrono::microseconds aTook) -> void = 0;
 };
 
@@ -112,8 +113,13 @@
     Phase phase = Phase::Opening;
     ServiceId service;     // of the backend server that holds it
     bool answered = false; // the backend server accepted the first packet
-    bool awaitsFirstRequest = false; // its first request is expected
-    bool requestInFlight = false;    // a request has no answer yet
+    // Room is kept for its first request, which is expected or on its way.
+    bool awaitsFirstRequest = false;
+    bool requestArriving = false; // its last byte is on its way
+    bool requestInFlight = false; // the whole request has no answer yet
+    // A request was answered before its last byte; the rest of it is no new
+    // one.
+    bool answeredEarly = false;
     // Packets of one message may arrive in any order; the one with its first
     // line is logged when it arrives.
     bool requestIdPending = false;
@@ -126,8 +132,10 @@
     std::uint32_t callerNext = 0; // sequence number of the caller's next byte
     std::uint32_t callerAcknowledged = 0;
     std::uint32_t inFlightBefore = 0; // requests in flight before this one
+    RequestArrival arrival;
     TimePoint lastPacket;
-    TimePoint requestBegan;
+    TimePoint awaitedSince;
+    TimePoint requestBegan; // its last byte was delivered
     TimePoint answerBegan;
     TimePoint registeredAt;
   };
@@ -192,6 +200,10 @@
   auto ExpireOpenings(RelayPort& aPort) -> void;
   auto Deliver(OwnFlow& aOwn, const Packet& aPacket, RelayPort& aPort) -> void;
   auto OnCallerData(OwnFlow& aOwn, const Packet& aPacket) -> void;
+  // The first packet of a request, in order of arrival.
+  auto BeginArrival(OwnFlow& aOwn, const FlowKey& aFlow) -> void;
+  // The whole request was delivered.
+  auto BeginRequest(OwnFlow& aOwn) -> void;
   auto OnBackendData(OwnFlow& aOwn, const Packet& aPacket) -> void;
   auto ReadRequest(OwnFlow& aOwn, const Packet& aPacket) -> void;
   auto OnOutcome(bool aFailed, const char* aCause) -> void;
@@ -223,7 +235,8 @@
   std::unordered_map<FlowKey, OpeningPacket, KeyHash> openings_;
   OpeningQueue queue_;
   PostponedSearches postponed_;
-  // Opened flows whose first request is expected, oldest first.
+  // Flows for whose first request room is kept, oldest first. A flow is listed
+  // again when the request begins to arrive.
   std::deque<std::pair<TimePoint, FlowKey>> awaitingFirstRequest_;
   std::uint32_t awaitedRequests_ = 0;
   std::unordered_map<std::uint16_t, std::uint32_t> balancers_;
--- a/src/relay/agent_relay_opening.cpp
+++ b/src/relay/agent_relay_opening.cpp
@@ -125,6 +125,7 @@
   own.awaitsFirstRequest = true;
   ++awaitedRequests_;
   const auto now = clock_.Now();
+  own.awaitedSince = now;
   awaitingFirstRequest_.emplace_back(now, aOpening.flow);
   openings_[aOpening.flow] = { aOpening.bytes, aOpening.tag, now };
   auto bytes = aOpening.bytes;
@@ -175,7 +176,8 @@
   while (!awaitingFirstRequest_.empty() &&
          now - awaitingFirstRequest_.front().first >= kFirstRequestTimeout) {
     const auto found = flows_.find(awaitingFirstRequest_.front().second);
-    if (found != flows_.end()) {
+    if (found != flows_.end() &&
+        now - found->second.awaitedSince >= kFirstRequestTimeout) {
       StopAwaitingRequest(found->second);
     }
     awaitingFirstRequest_.pop_front();
--- a/src/relay/agent_relay_requests.cpp
+++ b/src/relay/agent_relay_requests.cpp
@@ -17,17 +17,45 @@
   if (isNew) {
     aOwn.callerNext = end;
   }
-  if (isNew && !aOwn.requestInFlight) {
-    ++counters_.requests;
-    StopAwaitingRequest(aOwn);
-    aOwn.requestInFlight = true;
-    aOwn.requestIdPending = true;
-    aOwn.requestBegan = clock_.Now();
-    aOwn.inFlightBefore = meter_.BeginRequest();
+  const auto requestBytes = reader_.RequestBytes(aPacket.payload);
+  const bool idle = !aOwn.requestInFlight && !aOwn.requestArriving;
+  if (isNew && idle && (requestBytes || !aOwn.answeredEarly)) {
+    BeginArrival(aOwn, aPacket.flow);
   }
   if (aOwn.requestIdPending) {
     ReadRequest(aOwn, aPacket);
   }
+  if (aOwn.requestArriving) {
+    aOwn.arrival.OnData(aPacket.sequence,
+                        static_cast<std::uint32_t>(aPacket.payload.size()),
+                        requestBytes);
+    if (aOwn.arrival.IsWhole()) {
+      BeginRequest(aOwn);
+    }
+  }
+}
+
+auto AgentRelay::BeginArrival(OwnFlow& aOwn, const FlowKey& aFlow) -> void
+{
+  ++counters_.requests;
+  aOwn.requestArriving = true;
+  aOwn.answeredEarly = false;
+  aOwn.requestIdPending = true;
+  aOwn.inFlightBefore = meter_.InFlight();
+  aOwn.arrival.Begin();
+  if (aOwn.awaitsFirstRequest) {
+    aOwn.awaitedSince = clock_.Now();
+    awaitingFirstRequest_.emplace_back(clock_.Now(), aFlow);
+  }
+}
+
+auto AgentRelay::BeginRequest(OwnFlow& aOwn) -> void
+{
+  StopAwaitingRequest(aOwn);
+  aOwn.requestArriving = false;
+  aOwn.requestInFlight = true;
+  aOwn.requestBegan = clock_.Now();
+  aOwn.inFlightBefore = meter_.BeginRequest();
 }
 
 auto AgentRelay::ReadRequest(OwnFlow& aOwn, const Packet& aPacket) -> void
@@ -56,6 +84,13 @@
     aOwn.answerStatusPending = true;
     aOwn.answerBegan = clock_.Now();
     meter_.EndRequest(aOwn.requestBegan, aOwn.inFlightBefore);
+  } else if (aOwn.requestArriving) {
+    StopAwaitingRequest(aOwn);
+    aOwn.requestArriving = false;
+    aOwn.answeredEarly = true;
+    aOwn.answerStatusPending = true;
+    aOwn.answerBegan = clock_.Now();
+    aOwn.requestBegan = aOwn.answerBegan;
   }
   if (aOwn.answerStatusPending) {
     ReadAnswer(aOwn, aPacket);
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -74,8 +74,8 @@
 // Two round trips between caller and agent: the answer to the first packet, the
 // request after it, and the transit of the answer.
 constexpr Millis kFirstRequestDelay{ 12 };
-// An opened flow counts as a request in flight until its first request comes,
-// at most for this long.
+// An opened flow counts as a request in flight for at most this long until its
+// first request begins to arrive, and then again until the whole is there.
 constexpr Millis kFirstRequestTimeout{ 100 };
 // Callers give up on a first packet after 1.4 s; opening takes a round trip.
 constexpr Millis kMaxFirstPacketAge{ 1300 };
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -150,6 +150,22 @@
   EXPECT_TRUE(reader.Answer("HTTP/1.1 421 x\r\n\r\n").notRun);
 }
 
+TEST(ContentReader, ReadsTheLengthOfARequestFromItsHead)
+{
+  const HttpContentReader reader;
+  const std::string head = "POST /lists HTTP/1.1\r\nHost: x\r\n";
+  EXPECT_EQ(reader.RequestBytes("GET / HTTP/1.1\r\n\r\n"), 18U);
+  EXPECT_EQ(reader.RequestBytes(head + "content-length: 20000\r\n\r\nab"),
+            head.size() + 25 + 20000);
+  EXPECT_EQ(reader.RequestBytes(head + "Transfer-Encoding: chunked\r\n\r\n"),
+            0U);
+  EXPECT_EQ(reader.RequestBytes(head + "Content-Length: 9999999999\r\n\r\n"),
+            0U);
+  EXPECT_EQ(reader.RequestBytes(head), 0U); // the head goes on
+  EXPECT_EQ(reader.RequestBytes("rest of a body"), std::nullopt);
+  EXPECT_EQ(reader.RequestBytes("body\r\nGET / HTTP/1.1\r\n"), std::nullopt);
+}
+
 TEST(PlatformSettings, MapsTheFileToRelaySettings)
 {
   leaf::try_handle_all(
--- a/tests/relay_model.cpp
+++ b/tests/relay_model.cpp
@@ -114,6 +114,31 @@
   flow.sequence += 3;
 }
 
+auto RelayModel::SendUploadPart(std::size_t aFlow,
+                                std::size_t aBalancer,
+                                std::uint32_t aPart) -> void
+{
+  const auto& flow = flows_[aFlow];
+  std::string payload = aPart == 0 ? "long" : "rest";
+  payload.resize(kModelPartBytes, '.');
+  SendFromCaller(aBalancer,
+                 MakePacket(kAck,
+                            flow.key.caller,
+                            flow.key.address,
+                            flow.sequence + aPart * kModelPartBytes,
+                            flow.acknowledged,
+                            payload));
+}
+
+auto RelayModel::SendAnswerPart(std::size_t aTarget, std::size_t aFlow) -> void
+{
+  const auto& key = flows_[aFlow].key;
+  auto bytes = MakePacket(kAck, key.address, key.caller, 7, 7, "more");
+  auto& sender = *targets_[aTarget]->node;
+  sender.agent->OnBackendPacket(*codec_->Decode(bytes, PacketOrigin::Backend),
+                                sender.port);
+}
+
 auto RelayModel::RetransmitFirstPacket(std::size_t aFlow,
                                        std::size_t aBalancer,
                                        std::uint32_t aNumber) -> void
@@ -237,6 +262,14 @@
   if (packet->payload.empty()) {
     return;
   }
+  if (packet->payload.size() == kModelPartBytes) {
+    auto& parts = target.uploads[flow];
+    parts.insert(packet->sequence);
+    if (parts.size() * kModelPartBytes < kModelUploadBytes) {
+      return;
+    }
+    parts.clear();
+  }
   if (std::bernoulli_distribution(target.resetShare)(random_)) {
     target.flows.erase(flow);
     ++requestsReset_;
--- a/tests/relay_model.h
+++ b/tests/relay_model.h
@@ -23,7 +23,12 @@
   auto Write(EventLevel, std::string_view) -> void override {}
 };
 
-// Reads no request ids. A payload that starts with "bad" is an answer with 500.
+// Reads no request ids. A request that starts with "long" has
+// kModelUploadBytes; "rest" continues one, all others are whole. A payload that
+// starts with "bad" is an answer with 500.
+inline constexpr std::uint32_t kModelUploadBytes = 12000;
+inline constexpr std::uint32_t kModelPartBytes = 1000;
+
 class ModelContentReader final : public ContentReader
 {
 public:
@@ -31,6 +36,16 @@
   {
     return {};
   }
+  auto RequestBytes(std::string_view aPayload) const
+    -> std::optional<std::uint32_t> override
+  {
+    if (aPayload.starts_with("rest")) {
+      return std::nullopt;
+    }
+    return aPayload.starts_with("long")
+             ? kModelUploadBytes
+             : static_cast<std::uint32_t>(aPayload.size());
+  }
   auto Answer(std::string_view aPayload) const -> AnswerSummary override
   {
     return { aPayload.starts_with("bad") ? 500 : 200, false };
@@ -67,6 +82,12 @@
   // Callers. Balancers are given by index.
   auto Open(std::size_t aService, std::size_t aBalancer) -> std::size_t;
   auto SendRequest(std::size_t aFlow, std::size_t aBalancer) -> void;
+  // Sends one packet of an upload of kModelUploadBytes; aPart counts from 0.
+  auto SendUploadPart(std::size_t aFlow,
+                      std::size_t aBalancer,
+                      std::uint32_t aPart) -> void;
+  // The server sends one more packet of its answer.
+  auto SendAnswerPart(std::size_t aTarget, std::size_t aFlow) -> void;
   // Retransmits the first packet; aNumber counts from 1.
   auto RetransmitFirstPacket(std::size_t aFlow,
                              std::size_t aBalancer,
--- a/tests/relay_model_parts.h
+++ b/tests/relay_model_parts.h
@@ -166,6 +166,7 @@
   // number.
   std::map<FlowKey, std::uint32_t> halfOpen;
   std::set<FlowKey> flows;
+  std::map<FlowKey, std::set<std::uint32_t>> uploads; // parts that arrived
   std::unique_ptr<Node> node;
 };
 
