Refuse at once what can't be answered in time, by its place in the order

A first packet's wait was estimated from everything that queued, though openings that can be on time are served before late ones; and openings whose answer had become impossible stayed queued until their caller gave up. The wait now counts what TakeNext would take first. What could not be answered in time even if it were admitted now is reset at once, on arrival and in the queue. What still could be is left to its retransmission, as before.

Tests: RelayLoad.WhatCannotBeAnsweredInTimeIsRefusedAtOnce fails when a first packet is left to its last retransmission; OpeningQueue.CountsWhatIsServedFirst.

--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -31,9 +31,9 @@
   std::uint64_t delivered = 0; // packets to the backend server
   std::uint64_t toCallers = 0;
   std::uint64_t queued = 0;     // first packets that had to wait
-  std::uint64_t expired = 0;    // dropped from the queue: caller gave up
+  std::uint64_t expired = 0;    // refused in the queue: too late by now
   std::uint64_t deferred = 0;   // wait too long; a retransmission follows
-  std::uint64_t givenUp = 0;    // wait too long; last retransmission
+  std::uint64_t givenUp = 0;    // refused: no answer in time
   std::uint64_t redirected = 0; // first packets sent to another agent
   std::uint64_t followed = 0;   // later packets forwarded by a record
   std::uint64_t searched = 0;   // later packets forwarded without one
@@ -163,11 +163,19 @@
   auto AdmitWaiting(RelayPort& aPort) -> void;
   auto AdmitOrRedirect(const WaitingOpening& aOpening, RelayPort& aPort)
     -> void;
-  // For a first packet whose answer would come too late. A retransmission may
-  // find a shorter queue; only the last one is refused, at once. (Callers react
-  // to a refusal with the next try within milliseconds, so early refusals would
-  // use up all their tries within one surge.)
+  // For a first packet that CanBeServed refuses. If an answer could still come
+  // in time, it is left to its next retransmission, which may find a shorter
+  // queue; otherwise it is refused at once. (Callers react to a refusal with the
+  // next try within milliseconds, so early refusals would use up all their tries
+  // within one surge.)
   auto DeferOrRefuse(const WaitingOpening& aOpening, RelayPort& aPort) -> void;
+  auto Refuse(const WaitingOpening& aOpening, RelayPort& aPort) -> void;
+  auto LogOverload(const char* aEvent, const WaitingOpening& aOpening) -> void;
+  // True if the opening, queued now, is expected to be answered on time, or late
+  // but before it expires.
+  auto CanBeServed(const WaitingOpening& aOpening) const -> bool;
+  // Expected time to the answer on a flow that opens now.
+  auto TimeToAnswerNow() const -> std::chrono::microseconds;
   auto MakeWaiting(const Packet& aPacket, const RelayRoute& aRoute) const
     -> WaitingOpening;
   auto HasCapacity() const -> bool;
--- a/src/relay/agent_relay_opening.cpp
+++ b/src/relay/agent_relay_opening.cpp
@@ -105,7 +105,7 @@
   opening.objectiveDeadline = opening.firstSentAt + objective;
   opening.expiresAt =
     opening.firstSentAt +
-    (aRoute.timeout.count() > 0 ? aRoute.timeout : kMaxFirstPacketAge);
+    (aRoute.timeout.count() > 0 ? aRoute.timeout : kDefaultRouteTimeout);
   opening.priority = aRoute.priority;
   opening.lastRetransmission =
     retransmissions >= kMaxFirstPacketRetransmissions;
@@ -138,9 +138,7 @@
     queue_.Add(std::move(aOpening));
     return;
   }
-  const auto ahead = meter_.InFlight() + awaitedRequests_ + queue_.Size();
-  const auto wait = ExpectedWait(ahead, meter_.Slots(), meter_.ServiceTime());
-  if (clock_.Now() + wait >= aOpening.expiresAt) {
+  if (!CanBeServed(aOpening)) {
     DeferOrRefuse(aOpening, aPort);
     return;
   }
@@ -148,28 +146,67 @@
   queue_.Add(std::move(aOpening));
 }
 
+auto AgentRelay::TimeToAnswerNow() const -> std::chrono::microseconds
+{
+  return TimeToAnswer(meter_.InFlight() + awaitedRequests_,
+                      meter_.Slots(),
+                      meter_.ServiceTime());
+}
+
+auto AgentRelay::CanBeServed(const WaitingOpening& aOpening) const -> bool
+{
+  const auto now = clock_.Now();
+  const auto busy = meter_.InFlight() + awaitedRequests_;
+  const auto service = meter_.ServiceTime();
+  const auto waitBehind = [&](std::size_t aQueued) {
+    return ExpectedWait(busy + aQueued, meter_.Slots(), service);
+  };
+  const auto ahead = queue_.CountAhead(aOpening, now, TimeToAnswerNow());
+  if (now + waitBehind(ahead) <= aOpening.objectiveDeadline) {
+    return true;
+  }
+  // Late in any case: openings that come later and can be on time go first.
+  const auto wait = waitBehind(queue_.Size());
+  return now + wait < aOpening.expiresAt &&
+         now + wait - service < aOpening.firstSentAt + kMaxFirstPacketAge;
+}
+
 auto AgentRelay::DeferOrRefuse(const WaitingOpening& aOpening, RelayPort& aPort)
   -> void
 {
-  log_.Write(
-    EventLevel::Warning,
-    Event(aOpening.lastRetransmission ? "flow_refused" : "flow_deferred")
-      .With("flow", ToText(aOpening.flow))
-      .With("cause", "overload")
-      .With("queued", queue_.Size())
-      .With("in_flight", meter_.InFlight())
-      .With("slots", meter_.Slots())
-      .With("service_us", meter_.ServiceTime().count())
-      .Text());
-  if (!aOpening.lastRetransmission) {
-    ++counters_.deferred;
+  const bool canReturn = !aOpening.lastRetransmission &&
+                         clock_.Now() + TimeToAnswerNow() < aOpening.expiresAt;
+  if (!canReturn) {
+    Refuse(aOpening, aPort);
     return;
   }
+  ++counters_.deferred;
+  LogOverload("flow_deferred", aOpening);
+}
+
+auto AgentRelay::Refuse(const WaitingOpening& aOpening, RelayPort& aPort)
+  -> void
+{
   ++counters_.givenUp;
   ++counters_.resets;
+  LogOverload("flow_refused", aOpening);
   aPort.ResetCaller(aOpening.flow, 0);
 }
 
+auto AgentRelay::LogOverload(const char* aEvent, const WaitingOpening& aOpening)
+  -> void
+{
+  log_.Write(EventLevel::Warning,
+             Event(aEvent)
+               .With("flow", ToText(aOpening.flow))
+               .With("cause", "overload")
+               .With("queued", queue_.Size())
+               .With("in_flight", meter_.InFlight())
+               .With("slots", meter_.Slots())
+               .With("service_us", meter_.ServiceTime().count())
+               .Text());
+}
+
 auto AgentRelay::AdmitWaiting(RelayPort& aPort) -> void
 {
   const auto now = clock_.Now();
@@ -182,15 +219,15 @@
     }
     awaitingFirstRequest_.pop_front();
   }
-  counters_.expired += queue_.DropExpired(now);
+  for (const auto& expired : queue_.TakeExpired(now, TimeToAnswerNow())) {
+    ++counters_.expired;
+    Refuse(expired, aPort);
+  }
   const auto* own = state_.FindAgent(init_.self);
   const bool closed =
     !meter_.AcceptsFlows() || !own || own->standing >= TargetStanding::Leaving;
   while (queue_.Size() > 0 && (closed || HasCapacity())) {
-    const auto inFlight = meter_.InFlight() + awaitedRequests_;
-    const auto time =
-      TimeToAnswer(inFlight, meter_.Slots(), meter_.ServiceTime());
-    AdmitOrRedirect(*queue_.TakeNext(now, time), aPort);
+    AdmitOrRedirect(*queue_.TakeNext(now, TimeToAnswerNow()), aPort);
   }
 }
 
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -83,6 +83,8 @@
 constexpr std::uint32_t kMaxFirstPacketRetransmissions = 2;
 constexpr Millis kFirstRetransmissionDelay{ 200 };
 constexpr Millis kSecondRetransmissionDelay{ 600 };
+// Time after which the answer on a route that states no timeout is of no use.
+constexpr Millis kDefaultRouteTimeout{ 5000 };
 // Latency objective of routes that state none.
 constexpr Millis kDefaultLatencyObjective{ 250 };
 // Most agents that a first packet may visit.
--- a/src/relay/opening_queue.cpp
+++ b/src/relay/opening_queue.cpp
@@ -18,13 +18,37 @@
   found->tag = aOpening.tag;
 }
 
+namespace {
+
+// Openings are taken in this order, and in order of arrival within one rank.
+auto RankOf(const WaitingOpening& aOpening,
+            TimePoint aNow,
+            std::chrono::microseconds aTimeToAnswer)
+{
+  const bool late = aNow + aTimeToAnswer > aOpening.objectiveDeadline;
+  return std::pair(late, aOpening.priority);
+}
+
+} // namespace
+
+auto OpeningQueue::CountAhead(const WaitingOpening& aOpening,
+                              TimePoint aNow,
+                              std::chrono::microseconds aTimeToAnswer) const
+  -> std::size_t
+{
+  const auto own = RankOf(aOpening, aNow, aTimeToAnswer);
+  return static_cast<std::size_t>(
+    std::ranges::count_if(waiting_, [&](const auto& aEntry) {
+      return RankOf(aEntry, aNow, aTimeToAnswer) <= own;
+    }));
+}
+
 auto OpeningQueue::TakeNext(TimePoint aNow,
                             std::chrono::microseconds aTimeToAnswer)
   -> std::optional<WaitingOpening>
 {
   const auto rank = [&](const WaitingOpening& aEntry) {
-    const bool late = aNow + aTimeToAnswer > aEntry.objectiveDeadline;
-    return std::pair(late, aEntry.priority);
+    return RankOf(aEntry, aNow, aTimeToAnswer);
   };
   const auto best = std::ranges::min_element(waiting_, {}, rank);
   if (best == waiting_.end()) {
@@ -35,12 +59,19 @@
   return opening;
 }
 
-auto OpeningQueue::DropExpired(TimePoint aNow) -> std::size_t
+auto OpeningQueue::TakeExpired(TimePoint aNow,
+                               std::chrono::microseconds aTimeToAnswer)
+  -> std::vector<WaitingOpening>
 {
-  return std::erase_if(waiting_, [aNow](const auto& aEntry) {
-    return aNow >= aEntry.expiresAt ||
-           aNow - aEntry.firstSentAt >= kMaxFirstPacketAge;
-  });
+  const auto expired =
+    std::ranges::stable_partition(waiting_, [&](const auto& aEntry) {
+      return aNow + aTimeToAnswer < aEntry.expiresAt &&
+             aNow - aEntry.firstSentAt < kMaxFirstPacketAge;
+    });
+  std::vector<WaitingOpening> taken(std::make_move_iterator(expired.begin()),
+                                    std::make_move_iterator(expired.end()));
+  waiting_.erase(expired.begin(), expired.end());
+  return taken;
 }
 
 auto OpeningQueue::Contains(const FlowKey& aFlow) const -> bool
--- a/src/relay/opening_queue.h
+++ b/src/relay/opening_queue.h
@@ -44,9 +44,15 @@
   // @param aTimeToAnswer from the opening of a flow to the answer on it.
   auto TakeNext(TimePoint aNow, std::chrono::microseconds aTimeToAnswer)
     -> std::optional<WaitingOpening>;
-  // Drops openings that their caller has given up; it tries again on its own.
-  // @return the number dropped.
-  auto DropExpired(TimePoint aNow) -> std::size_t;
+  // The number of openings that TakeNext would take before this one.
+  auto CountAhead(const WaitingOpening& aOpening,
+                  TimePoint aNow,
+                  std::chrono::microseconds aTimeToAnswer) const
+    -> std::size_t;
+  // Takes the openings whose answer would come too late even if they were
+  // admitted now, and those that their caller is about to give up.
+  auto TakeExpired(TimePoint aNow, std::chrono::microseconds aTimeToAnswer)
+    -> std::vector<WaitingOpening>;
   auto Contains(const FlowKey& aFlow) const -> bool;
   auto Size() const -> std::size_t { return waiting_.size(); }
 
--- a/tests/relay_load_test.cpp
+++ b/tests/relay_load_test.cpp
@@ -299,6 +299,62 @@
   EXPECT_GE(AnswersOnTime(Millis{ 100 }, 4, 40), 36U);
 }
 
+// A request that can be on time is not deferred behind a long queue of late
+// ones, since it is served before them.
+TEST(OpeningQueue, CountsWhatIsServedFirst)
+{
+  const TimePoint now{ std::chrono::seconds{ 10 } };
+  const auto entry = [&](std::uint16_t aNumber, Millis aLeft) {
+    WaitingOpening opening;
+    opening.flow = FlowNumber(aNumber);
+    opening.firstSentAt = now;
+    opening.objectiveDeadline = now + aLeft;
+    opening.expiresAt = now + Millis{ 1000 };
+    return opening;
+  };
+  OpeningQueue queue;
+  for (std::uint16_t i = 0; i < 50; ++i) {
+    queue.Add(entry(i, Millis{ i < 3 ? 100 : 10 }));
+  }
+  const Millis time{ 30 };
+  EXPECT_EQ(queue.CountAhead(entry(90, Millis{ 200 }), now, time), 3U);
+  EXPECT_EQ(queue.CountAhead(entry(90, Millis{ 10 }), now, time), 50U);
+  // Nothing can be answered within 30 ms from 980 ms on.
+  EXPECT_TRUE(queue.TakeExpired(now + Millis{ 960 }, time).empty());
+  EXPECT_EQ(queue.TakeExpired(now + Millis{ 980 }, time).size(), 50U);
+}
+
+// A route's time is shorter than what its server takes: a clerk who waits for
+// the last retransmission would be told after 600 ms. Requests whose answer
+// cannot come in time are refused at once, those that can are answered.
+TEST(RelayLoad, WhatCannotBeAnsweredInTimeIsRefusedAtOnce)
+{
+  RelayModel model({ 1, 1 }, 1);
+  model.SetRouteTimeout(Millis{ 500 });
+  model.SetServiceTime(0, Millis{ 450 });
+  model.SetSlots(0, 2);
+  model.Publish();
+  RunRequests(model, 2);
+  model.Run(Millis{ 1000 }); // the agent has measured the service time by now
+  std::vector<std::size_t> flows;
+  for (std::size_t i = 0; i < 10; ++i) {
+    flows.push_back(model.Open(0, 0));
+  }
+  model.Run(Millis{ 10 });
+  std::size_t open = 0;
+  for (const auto flow : flows) {
+    if (model.Flow(flow).open) {
+      model.SendRequest(flow, 0);
+      ++open;
+    }
+  }
+  EXPECT_GE(open, 2U);
+  model.Run(Millis{ 40 });
+  const auto refused = std::ranges::count_if(
+    flows, [&](std::size_t aFlow) { return model.Flow(aFlow).reset; });
+  EXPECT_EQ(open + std::size_t(refused), flows.size());
+}
+
 // A retransmission of a queued first packet neither adds an entry nor delays
 // the expiry of the first one.
 TEST(OpeningQueue, ARetransmissionReplacesTheQueuedOpening)
@@ -313,7 +369,7 @@
     queue.Add(opening);
   }
   EXPECT_EQ(queue.Size(), 1U);
-  EXPECT_EQ(queue.DropExpired(now + kMaxFirstPacketAge), 1U);
+  EXPECT_EQ(queue.TakeExpired(now + kMaxFirstPacketAge, {}).size(), 1U);
   EXPECT_EQ(queue.Size(), 0U);
 }
 
--- a/tests/relay_model.h
+++ b/tests/relay_model.h
@@ -118,6 +118,7 @@
   // selects; the others keep their old view.
   auto Publish() -> void;
   auto PublishTo(std::function<bool(std::uint32_t aIp)> aSelects) -> void;
+  auto SetRouteTimeout(Millis aTimeout) -> void { routeTimeout_ = aTimeout; }
   auto SetIdleTimeout(Millis aTimeout) -> void { idleTimeout_ = aTimeout; }
   auto SetLoss(double aShare) -> void { loss_ = aShare; }
   // Makes the server reset this share of its requests at once.
@@ -179,6 +180,7 @@
   std::unique_ptr<PacketCodec> codec_;
   std::mt19937_64 random_;
   Millis idleTimeout_{ 15000 };
+  Millis routeTimeout_{ 0 };
   double loss_ = 0;
   std::uint64_t order_ = 0;
   std::uint64_t revision_ = 1;
--- a/tests/relay_model_faults.cpp
+++ b/tests/relay_model_faults.cpp
@@ -115,12 +115,14 @@
 auto RelayModel::CurrentRoutes() const -> RouteTable
 {
   RouteTable table;
-  table.version = static_cast<DocumentVersion>(idleTimeout_.count());
+  table.version =
+    static_cast<DocumentVersion>((idleTimeout_ + routeTimeout_).count());
   table.idleTimeout = idleTimeout_;
   for (std::size_t service = 0; service < services_; ++service) {
     RelayRoute route;
     route.name = "route-" + std::to_string(service);
     route.address = AddressOf(service);
+    route.timeout = routeTimeout_;
     route.services.push_back({ ServiceIdOf(ServiceName(service)), 1 });
     table.routes.push_back(route);
   }
