--- a/src/relay_node/finding_log.cpp
+++ b/src/relay_node/finding_log.cpp
@@ -30,6 +30,26 @@
 
 } // namespace
 
+auto ToText(DecodeEffect aEffect) -> const char*
+{
+  switch (aEffect) {
+    case DecodeEffect::DefaultUsed:
+      return "default_used";
+    case DecodeEffect::EntrySkipped:
+      return "entry_skipped";
+    default:
+      return "refused";
+  }
+}
+
+auto ToText(const DecodeFinding& aFinding) -> std::string
+{
+  return Event(ToText(aFinding.effect))
+    .With("entry", aFinding.entry)
+    .With("field", aFinding.field)
+    .Text();
+}
+
 FindingLog::FindingLog(const char* aSource, EventSink& aLog)
   : source_(aSource)
   , log_(aLog)
--- a/src/relay_node/interfaces.h
+++ b/src/relay_node/interfaces.h
@@ -72,6 +72,10 @@
   auto operator==(const DecodeFinding&) const -> bool = default;
 };
 
+auto ToText(DecodeEffect aEffect) -> const char*;
+// One key=value line.
+auto ToText(const DecodeFinding& aFinding) -> std::string;
+
 template<class T>
 struct Decoded
 {
--- a/src/relay_node/relay_metrics.cpp
+++ b/src/relay_node/relay_metrics.cpp
@@ -90,7 +90,7 @@
         "First packets that waited for room",
         counters.queued);
   count("openings_expired_total",
-        "First packets that waited until their caller gave up",
+        "First packets refused in the queue, as they were too late",
         counters.expired);
   count(
     "openings_deferred_total",
@@ -156,7 +156,7 @@
   } else {
     AddAgent(list, *agent_);
     list.Histogram("answer_seconds",
-                   "From a request's first packet to its answer's",
+                   "From a request's last byte to the first of its answer",
                    answerHistogram_->Collect());
   }
   const auto digest = state_.Digest();
