--- a/src/relay/opening_queue.cpp
+++ b/src/relay/opening_queue.cpp
@@ -63,14 +63,14 @@
                                std::chrono::microseconds aTimeToAnswer)
   -> std::vector<WaitingOpening>
 {
-  const auto expired =
-    std::ranges::stable_partition(waiting_, [&](const auto& aEntry) {
+  const auto expired = std::stable_partition(
+    waiting_.begin(), waiting_.end(), [&](const auto& aEntry) {
       return aNow + aTimeToAnswer < aEntry.expiresAt &&
              aNow - aEntry.firstSentAt < kMaxFirstPacketAge;
     });
-  std::vector<WaitingOpening> taken(std::make_move_iterator(expired.begin()),
-                                    std::make_move_iterator(expired.end()));
-  waiting_.erase(expired.begin(), expired.end());
+  std::vector<WaitingOpening> taken(std::make_move_iterator(expired),
+                                    std::make_move_iterator(waiting_.end()));
+  waiting_.erase(expired, waiting_.end());
   return taken;
 }
 
