Keep heartbeats within a failure domain beyond 100 targets

Cause: 200 processes sent heartbeats to 136 agents, 80% of them into other failure domains, and every process pulled the whole set of targets from the one that read the store. Both grow with the square of the fleet. Beyond 100 targets a process now exchanges heartbeats with the agents of its domain (at most 64, at least 8). Two processes of a domain report its silent agents and its balancers to each other domain every 500 ms; the receiver passes the report on. A reader announces to its own domain and to three agents of each other one, which pull and pass on. Balancers ask four far agents a period for their load, and place far only by a load reported within 1.5 s. Up to 100 targets nothing changes.

--- a/src/core/types.h
+++ b/src/core/types.h
@@ -42,6 +42,16 @@
   auto operator<=>(const ServiceId&) const = default;
 };
 
+// Hash of a failure domain's name; 0 is the invalid value.
+struct DomainId
+{
+  std::uint64_t value = 0;
+
+  auto IsValid() const -> bool { return value != 0; }
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive on <=>.
+  auto operator<=>(const DomainId&) const = default;
+};
+
 // Identifies one attempt of one request, unique over the fleet's lifetime.
 struct AttemptId
 {
@@ -84,6 +94,11 @@
   return ServiceId{ HashText(aName) | 1 };
 }
 
+inline auto DomainIdOf(std::string_view aName) -> DomainId
+{
+  return DomainId{ HashText(aName) | 1 };
+}
+
 // @param aText such as "10.0.0.1:80".
 // @return nothing when it is not an IPv4 address and a port other than 0.
 auto ParseEndpoint(std::string_view aText) -> std::optional<Endpoint>;
@@ -109,6 +124,10 @@
   {
     return aKey.value;
   }
+  auto operator()(const DomainId& aKey) const -> std::size_t
+  {
+    return aKey.value;
+  }
   auto operator()(const AttemptId& aKey) const -> std::size_t
   {
     return Mix(aKey.high, aKey.low);
--- /dev/null
+++ b/src/relay/heartbeat_plan.cpp
@@ -0,0 +1,121 @@
+#include "relay/heartbeat_plan.h"
+
+#include "relay/limits.h"
+
+#include <algorithm>
+
+namespace damaskwalk {
+
+namespace {
+
+constexpr std::uint64_t kRingKey = 23;
+
+// Distance from one address to another along the ring of hashes.
+auto RingDistance(std::uint32_t aFrom, std::uint32_t aTo) -> std::uint64_t
+{
+  return Mix(aTo, kRingKey) - Mix(aFrom, kRingKey);
+}
+
+} // namespace
+
+HeartbeatPlan::HeartbeatPlan(const HeartbeatPlanInit& aInit)
+  : init_(aInit)
+  , random_(aInit.seed)
+{
+}
+
+auto HeartbeatPlan::Update(const FleetState& aState) -> void
+{
+  near_.clear();
+  padding_.clear();
+  far_.clear();
+  farDomains_.clear();
+  fullMesh_ = aState.KnownTargets().size() <= kFullMeshTargets;
+  if (fullMesh_) {
+    UpdateFullMesh(aState);
+  } else {
+    UpdateByDomain(aState);
+  }
+}
+
+auto HeartbeatPlan::UpdateFullMesh(const FleetState& aState) -> void
+{
+  for (const auto& known : aState.KnownTargets()) {
+    const auto& target = known.target;
+    const bool concerns =
+      init_.role == RelayRole::Balancer || target.service == init_.service;
+    if (concerns && target.agent.ip != init_.self) {
+      near_.push_back(target.agent.ip);
+    }
+  }
+}
+
+auto HeartbeatPlan::UpdateByDomain(const FleetState& aState) -> void
+{
+  for (const auto& known : aState.KnownTargets()) {
+    const auto& target = known.target;
+    const auto ip = target.agent.ip;
+    if (ip == init_.self || known.standing == TargetStanding::Gone) {
+      continue;
+    }
+    if (target.failureDomain == init_.failureDomain) {
+      near_.push_back(ip);
+    } else {
+      far_.insert(ip);
+      farDomains_[DomainIdOf(target.failureDomain)].push_back(ip);
+    }
+  }
+  LimitNear();
+  PadNear();
+}
+
+auto HeartbeatPlan::LimitNear() -> void
+{
+  if (near_.size() <= kMaxNearAgents) {
+    return;
+  }
+  std::ranges::sort(
+    near_, {}, [this](auto aIp) { return RingDistance(init_.self, aIp); });
+  far_.insert(near_.begin() + kMaxNearAgents, near_.end());
+  near_.resize(kMaxNearAgents);
+}
+
+auto HeartbeatPlan::PadNear() -> void
+{
+  if (near_.size() >= kMinNearAgents) {
+    return;
+  }
+  std::vector<std::uint32_t> order(far_.begin(), far_.end());
+  std::ranges::sort(
+    order, {}, [this](auto aIp) { return RingDistance(init_.self, aIp); });
+  const auto count = std::min(kMinNearAgents - near_.size(), order.size());
+  padding_.assign(order.begin(), order.begin() + std::ptrdiff_t(count));
+}
+
+auto HeartbeatPlan::SampleDomains(std::size_t aPerDomain)
+  -> std::vector<std::uint32_t>
+{
+  std::vector<std::uint32_t> sample;
+  for (const auto& [domain, agents] : farDomains_) {
+    std::ranges::sample(
+      agents, std::back_inserter(sample), std::ptrdiff_t(aPerDomain), random_);
+  }
+  return sample;
+}
+
+auto HeartbeatPlan::SampleFar(std::size_t aCount) -> std::vector<std::uint32_t>
+{
+  std::vector<std::uint32_t> sample;
+  std::ranges::sample(
+    far_, std::back_inserter(sample), std::ptrdiff_t(aCount), random_);
+  return sample;
+}
+
+auto HeartbeatPlan::DrawReporter(std::size_t aProcesses) -> bool
+{
+  const auto share =
+    kDomainReporters / double(std::max<std::size_t>(aProcesses, 1));
+  return std::bernoulli_distribution(std::min(1.0, share))(random_);
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay/heartbeat_plan.h
@@ -0,0 +1,77 @@
+#pragma once
+
+// Which agents a process exchanges heartbeats with.
+//
+// Answers the size of the fleet: heartbeats of all to all grow with its square
+// and mostly cross failure domains. Beyond kFullMeshTargets a process hears the
+// agents of its own domain, its near ones. Of the far ones it learns by domain
+// reports (domain_reports.h) and, as a balancer, by asking a few for their
+// load.
+
+#include "relay/fleet_state.h"
+#include "relay/peer_messages.h"
+
+#include <map>
+#include <random>
+#include <unordered_set>
+
+namespace damaskwalk {
+
+struct HeartbeatPlanInit
+{
+  std::uint32_t self = 0; // address of this VM
+  RelayRole role = RelayRole::Balancer;
+  std::string failureDomain;
+  ServiceId service; // agents only
+  std::uint64_t seed = 1;
+};
+
+// Agents are given by the address of their VM. Single threaded.
+class HeartbeatPlan
+{
+public:
+  explicit HeartbeatPlan(const HeartbeatPlanInit& aInit);
+
+  // To be called when targets changed.
+  auto Update(const FleetState& aState) -> void;
+
+  // Near agents, which send periodic heartbeats to this process.
+  auto Near() const -> const std::vector<std::uint32_t>& { return near_; }
+  // Agents of other domains that stand in for missing near ones. They do not
+  // know of it and have to be asked for each heartbeat.
+  auto Padding() const -> const std::vector<std::uint32_t>& { return padding_; }
+  // All other agents; empty in a full mesh.
+  auto Far() const -> const std::unordered_set<std::uint32_t>& { return far_; }
+  auto IsFullMesh() const -> bool { return fullMesh_; }
+  // Far agents by their failure domain.
+  auto FarDomains() const
+    -> const std::map<DomainId, std::vector<std::uint32_t>>&
+  {
+    return farDomains_;
+  }
+
+  // Random agents of each other domain.
+  auto SampleDomains(std::size_t aPerDomain) -> std::vector<std::uint32_t>;
+  // Random far agents of any domain.
+  auto SampleFar(std::size_t aCount) -> std::vector<std::uint32_t>;
+  // True with the probability that makes kDomainReporters of aProcesses report.
+  auto DrawReporter(std::size_t aProcesses) -> bool;
+
+private:
+  auto UpdateFullMesh(const FleetState& aState) -> void;
+  auto UpdateByDomain(const FleetState& aState) -> void;
+  // Keeps the agents that follow this process in a ring of hashes, so that each
+  // is heard by as many others.
+  auto LimitNear() -> void;
+  auto PadNear() -> void;
+
+  HeartbeatPlanInit init_;
+  std::mt19937_64 random_;
+  bool fullMesh_ = true;
+  std::vector<std::uint32_t> near_;
+  std::vector<std::uint32_t> padding_;
+  std::unordered_set<std::uint32_t> far_;
+  std::map<DomainId, std::vector<std::uint32_t>> farDomains_;
+};
+
+} // namespace damaskwalk
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -16,10 +16,41 @@
 // A deregistered backend server may hold flows for as long as it drains.
 constexpr Millis kGoneTargetRetention{ 40000 };
 
-// Heartbeats between relays. The period grows with the number of targets, so
-// that one node sends at most 100 heartbeats a second.
+// Heartbeats between relays. The period grows with the number of targets that a
+// process hears, so that it sends at most 100 heartbeats a second.
 constexpr Millis kRelayHeartbeatPeriod{ 500 };
 constexpr Millis kHeartbeatPeriodPerTarget{ 10 };
+// Up to this many targets, every process exchanges heartbeats with all agents;
+// beyond it, with the agents of its failure domain.
+constexpr std::size_t kFullMeshTargets = 100;
+// Most agents that a process exchanges heartbeats with in a failure domain, and
+// the least, made up from other domains if there are not enough.
+constexpr std::size_t kMaxNearAgents = 64;
+constexpr std::size_t kMinNearAgents = 8;
+// Period in which a failure domain reports to each other one, and the number of
+// its processes that do so, on average.
+constexpr Millis kDomainReportPeriod{ 500 };
+constexpr double kDomainReporters = 2.0;
+// A report is believed for this long. A domain that sent none for as long is
+// lost, or cut off.
+constexpr Millis kDomainReportLifetime{ 3000 };
+// A far agent that stopped is believed to be down for this long; after that its
+// domain's reports tell.
+constexpr Millis kFarStopLifetime{ 2500 };
+// Far agents whose load a balancer asks for in a heartbeat period, and for how
+// long it believes the answer.
+constexpr std::size_t kFarProbesPerPeriod = 4;
+constexpr Millis kFarLoadLifetime{ 1500 };
+// Agents of each other failure domain that are told of a read of the store.
+constexpr std::size_t kFarAnnouncements = 3;
+// Most targets that a stopping agent tells so itself.
+constexpr std::size_t kMaxStopAnnouncements = 1024;
+// A confirmation of the state from another domain is passed on within the own
+// one if the state was older than this.
+constexpr Millis kPassOnAge{ 250 };
+// Newer state that is seen at a process of another domain is pulled from there
+// if nobody in the own one has it after this time.
+constexpr Millis kFarPullDelay{ 200 };
 // A peer is silent after three missed heartbeats.
 constexpr std::uint32_t kMaxMissedHeartbeats = 3;
 // Shortest time between load reports to one balancer; an agent sends them in
--- /dev/null
+++ b/src/relay/peer_exchange.cpp
@@ -0,0 +1,265 @@
+#include "relay/peer_exchange.h"
+
+#include "relay/limits.h"
+
+#include <algorithm>
+
+namespace damaskwalk {
+
+namespace {
+
+// A balancer that sent no periodic heartbeat for this long gets none.
+constexpr std::chrono::minutes kBalancerRetention{ 1 };
+
+auto SendToAll(const std::unordered_set<std::uint32_t>& aPeers,
+               const PeerMessage& aMessage,
+               RelayPort& aPort) -> void
+{
+  for (const auto ip : aPeers) {
+    aPort.SendToPeer(ip, aMessage);
+  }
+}
+
+} // namespace
+
+PeerExchange::PeerExchange(const HeartbeatPlanInit& aInit,
+                           FleetState& aState,
+                           PeerTable& aPeers,
+                           const Clock& aClock,
+                           PeerExchangeHost& aHost)
+  : init_(aInit)
+  , state_(aState)
+  , peers_(aPeers)
+  , clock_(aClock)
+  , host_(aHost)
+  , plan_(aInit)
+  , nextHeartbeat_(aClock.Now())
+  , nextReport_(aClock.Now())
+{
+}
+
+auto PeerExchange::SetSeeds(const std::vector<std::uint32_t>& aSeeds) -> void
+{
+  seeds_ = aSeeds;
+}
+
+auto PeerExchange::OnHeartbeat(std::uint32_t aIp,
+                               const RelayHeartbeat& aHeartbeat,
+                               RelayPort& aPort) -> void
+{
+  const bool isNew = peers_.OnHeartbeat(aIp, aHeartbeat);
+  if (aHeartbeat.role == RelayRole::Balancer) {
+    host_.OnBalancer(aIp);
+  } else if (isNew) {
+    host_.OnAgentStarted();
+  }
+  const bool isNear = IsNear(aIp);
+  if ((isNew && isNear) || aHeartbeat.wantsReply) {
+    aPort.SendToPeer(aIp, PeerMessage{ host_.MakeHeartbeat() });
+  }
+  const auto ageBefore = state_.Age();
+  state_.Confirm(aHeartbeat.digest);
+  // Far agents answer a balancer's first packets and probes. An agent asks
+  // nobody, so what comes from far is an announcement of state.
+  const bool isAnnouncement =
+    !isNear && init_.role == RelayRole::Agent && !aHeartbeat.wantsReply;
+  if (isAnnouncement && ageBefore > kPassOnAge && state_.Age() <= kPassOnAge) {
+    PassOnState(aPort);
+  }
+  if (!aHeartbeat.stopping && aHeartbeat.digest.IsNewerThan(state_.Digest())) {
+    OnNewerState(aIp, isNear || isAnnouncement);
+  }
+}
+
+auto PeerExchange::OnNewerState(std::uint32_t aIp, bool aAnnounced) -> void
+{
+  const auto now = clock_.Now();
+  if (!behindSince_) {
+    behindSince_ = now;
+  }
+  if (aAnnounced || now - *behindSince_ >= kFarPullDelay) {
+    host_.PullState(aIp);
+  }
+}
+
+auto PeerExchange::OnDomainReport(std::uint32_t aIp,
+                                  const DomainReport& aReport,
+                                  RelayPort& aPort) -> void
+{
+  const bool isNews = peers_.Reports().OnReport(aReport);
+  for (const auto ip : aReport.balancers) {
+    host_.OnBalancer(ip);
+  }
+  // The receiver of a report passes it on; the near peers do not again.
+  if (isNews && aIp == aReport.reporter) {
+    SendToAll(NearPeers(), PeerMessage{ aReport }, aPort);
+  }
+}
+
+auto PeerExchange::OnStateChanged() -> void
+{
+  plan_.Update(state_);
+  peers_.SetFar(plan_.Far(), plan_.FarDomains());
+  behindSince_.reset();
+}
+
+auto PeerExchange::OnStatePulled(std::uint32_t aIp, RelayPort& aPort) -> void
+{
+  if (!IsNear(aIp)) {
+    PassOnState(aPort);
+  }
+}
+
+auto PeerExchange::Tick(RelayPort& aPort) -> void
+{
+  const auto now = clock_.Now();
+  if (now >= nextHeartbeat_) {
+    nextHeartbeat_ = now + peers_.HeartbeatPeriod();
+    SendHeartbeats(aPort);
+  }
+  if (now >= nextReport_) {
+    nextReport_ = now + kDomainReportPeriod;
+    ReportDomain(aPort);
+  }
+}
+
+auto PeerExchange::SendHeartbeats(RelayPort& aPort) -> void
+{
+  const auto heard =
+    plan_.IsFullMesh() ? state_.KnownTargets().size() : plan_.Near().size();
+  peers_.SetHeartbeatPeriod(
+    std::max(kRelayHeartbeatPeriod,
+             kHeartbeatPeriodPerTarget * static_cast<std::int64_t>(heard)));
+  SendToAll(NearPeers(), PeerMessage{ host_.MakeHeartbeat() }, aPort);
+  for (const auto ip : plan_.Near()) {
+    peers_.ExpectHeartbeats(ip);
+  }
+  ProbeFar(aPort);
+}
+
+auto PeerExchange::ProbeFar(RelayPort& aPort) -> void
+{
+  const auto& padding = plan_.Padding();
+  std::unordered_set<std::uint32_t> probed(padding.begin(), padding.end());
+  if (init_.role == RelayRole::Balancer) {
+    const auto sample = plan_.SampleFar(kFarProbesPerPeriod);
+    probed.insert(sample.begin(), sample.end());
+    auto unanswering = peers_.UnansweringFar();
+    unanswering.resize(std::min(unanswering.size(), kFarProbesPerPeriod));
+    probed.insert(unanswering.begin(), unanswering.end());
+  }
+  if (probed.empty()) {
+    return;
+  }
+  auto heartbeat = host_.MakeHeartbeat();
+  heartbeat.wantsReply = true;
+  SendToAll(probed, PeerMessage{ std::move(heartbeat) }, aPort);
+}
+
+auto PeerExchange::ReportDomain(RelayPort& aPort) -> void
+{
+  const auto agents = plan_.SampleDomains(1);
+  if (agents.empty() || !plan_.DrawReporter(NearPeers().size() + 1)) {
+    return;
+  }
+  const PeerMessage message{ MakeDomainReport() };
+  for (const auto ip : agents) {
+    aPort.SendToPeer(ip, message);
+  }
+}
+
+auto PeerExchange::MakeDomainReport() const -> DomainReport
+{
+  DomainReport report;
+  report.domain = DomainIdOf(init_.failureDomain);
+  report.reporter = init_.self;
+  for (const auto ip : plan_.Near()) {
+    if (peers_.IsSilent(ip)) {
+      report.silentAgents.push_back(ip);
+    }
+  }
+  if (2 * report.silentAgents.size() > plan_.Near().size()) {
+    report.silentAgents.clear(); // this process may be the one that is cut off
+  }
+  if (init_.role == RelayRole::Balancer) {
+    report.balancers.push_back(init_.self);
+  }
+  for (const auto& [ip, peer] : peers_.Peers()) {
+    if (peer.role == RelayRole::Balancer && IsNear(ip)) {
+      report.balancers.push_back(ip);
+    }
+  }
+  return report;
+}
+
+auto PeerExchange::Announce(RelayPort& aPort) -> void
+{
+  auto peers = plan_.IsFullMesh() ? KnownPeers() : NearPeers();
+  const auto far = plan_.SampleDomains(kFarAnnouncements);
+  peers.insert(far.begin(), far.end());
+  SendToAll(peers, PeerMessage{ host_.MakeHeartbeat() }, aPort);
+}
+
+auto PeerExchange::PassOnState(RelayPort& aPort) -> void
+{
+  const auto now = clock_.Now();
+  if (now - passedOnAt_ < kPassOnAge) {
+    return;
+  }
+  passedOnAt_ = now;
+  SendToAll(NearPeers(), PeerMessage{ host_.MakeHeartbeat() }, aPort);
+}
+
+auto PeerExchange::AnnounceStop(RelayPort& aPort) -> void
+{
+  const bool tellsAll = plan_.IsFullMesh() ||
+                        (init_.role == RelayRole::Agent &&
+                         state_.KnownTargets().size() <= kMaxStopAnnouncements);
+  SendToAll(tellsAll ? KnownPeers() : NearPeers(),
+            PeerMessage{ host_.MakeHeartbeat() },
+            aPort);
+}
+
+auto PeerExchange::IsNear(std::uint32_t aIp) const -> bool
+{
+  if (plan_.IsFullMesh()) {
+    return true;
+  }
+  const auto* peer = peers_.Find(aIp);
+  if (!peer || peer->role == RelayRole::Agent) {
+    return !peers_.IsFar(aIp);
+  }
+  return clock_.Now() - peer->lastPeriodicAt <=
+         kMaxMissedHeartbeats * peers_.HeartbeatPeriod();
+}
+
+auto PeerExchange::NearPeers() const -> std::unordered_set<std::uint32_t>
+{
+  std::unordered_set<std::uint32_t> peers(plan_.Near().begin(),
+                                          plan_.Near().end());
+  const auto oldest = clock_.Now() - kBalancerRetention;
+  for (const auto& [ip, peer] : peers_.Peers()) {
+    if (init_.role == RelayRole::Agent && peer.role == RelayRole::Balancer &&
+        peer.lastPeriodicAt >= oldest) {
+      peers.insert(ip);
+    }
+  }
+  peers.erase(init_.self);
+  return peers;
+}
+
+auto PeerExchange::KnownPeers() const -> std::unordered_set<std::uint32_t>
+{
+  std::unordered_set<std::uint32_t> peers;
+  for (const auto& known : state_.KnownTargets()) {
+    peers.insert(known.target.agent.ip);
+  }
+  for (const auto& [ip, peer] : peers_.Peers()) {
+    peers.insert(ip);
+  }
+  peers.insert(seeds_.begin(), seeds_.end());
+  peers.erase(init_.self);
+  return peers;
+}
+
+} // namespace damaskwalk
--- a/src/relay/peer_messages.cpp
+++ b/src/relay/peer_messages.cpp
@@ -14,6 +14,8 @@
 // First byte of every message. Increment it when the layout changes.
 constexpr std::uint8_t kLayoutVersion = 1;
 constexpr std::size_t kMaxFlowsPerMessage = 256;
+constexpr std::size_t kMaxAgentsPerReport = 64;
+constexpr std::size_t kMaxBalancersPerReport = 256;
 constexpr std::size_t kMaxRoutes = 65536;
 constexpr std::size_t kMaxTargets = 65536;
 constexpr std::size_t kMaxServicesPerRoute = 64;
@@ -77,6 +79,14 @@
   aArchive(aValue.agent, flows);
 }
 
+template<class Archive>
+auto serialize(Archive& aArchive, DomainReport& aValue) -> void
+{
+  auto silent = Bounded<kMaxAgentsPerReport>(aValue.silentAgents);
+  auto balancers = Bounded<kMaxBalancersPerReport>(aValue.balancers);
+  aArchive(aValue.domain.value, aValue.reporter, silent, balancers);
+}
+
 template<class Archive>
 auto serialize(Archive& aArchive, WeightedService& aValue) -> void
 {
@@ -228,6 +238,12 @@
         message.body = std::move(registration);
         return true;
       }
+      case 3: {
+        DomainReport report;
+        aArchive(report);
+        message.body = std::move(report);
+        return true;
+      }
       default:
         return false;
     }
--- a/src/relay/peer_messages.h
+++ b/src/relay/peer_messages.h
@@ -48,7 +48,8 @@
   RelayRole role = RelayRole::Balancer;
   std::uint64_t incarnation = 0; // drawn anew at each start
   StateDigest digest;
-  // The receiver must reply with its own heartbeat.
+  // The receiver must reply with its own heartbeat. The sender sends no
+  // periodic ones to it.
   bool wantsReply = false;
   // The sender is stopping: an agent at once, a balancer when drained.
   bool stopping = false;
@@ -69,9 +70,23 @@
   std::vector<FlowKey> flows;
 };
 
+// What the processes of one failure domain tell those of the others, which do
+// not exchange heartbeats with them.
+struct DomainReport
+{
+  DomainId domain;
+  std::uint32_t reporter = 0; // address of the process that made the report
+  // Agents of the domain whose heartbeats the reporter misses.
+  std::vector<std::uint32_t> silentAgents;
+  // Balancers of the domain.
+  std::vector<std::uint32_t> balancers;
+};
+
+// The position of a body in the variant is its kind on the wire.
 struct PeerMessage
 {
-  std::variant<RelayHeartbeat, FlowLocation, FlowRegistration> body;
+  std::variant<RelayHeartbeat, FlowLocation, FlowRegistration, DomainReport>
+    body;
 };
 
 // Over TCP: requests the routes and targets that the sender lacks.
--- a/src/relay/peer_table.cpp
+++ b/src/relay/peer_table.cpp
@@ -8,10 +8,17 @@
 
 constexpr std::chrono::minutes kSilentPeerRetention{ 1 };
 
+auto LeavesFlowsUnanswered(const PeerRecord& aPeer, TimePoint aNow) -> bool
+{
+  return aPeer.placedSinceReport > 0 &&
+         aNow - aPeer.unansweredSince > kLoadReportTimeout;
+}
+
 } // namespace
 
 PeerTable::PeerTable(const Clock& aClock)
   : clock_(aClock)
+  , reports_(aClock)
   , period_(kRelayHeartbeatPeriod)
 {
 }
@@ -31,6 +38,9 @@
   peer.incarnation = aHeartbeat.incarnation;
   peer.digest = aHeartbeat.digest;
   peer.lastHeartbeatAt = now;
+  if (!aHeartbeat.wantsReply) {
+    peer.lastPeriodicAt = now;
+  }
   if (!aHeartbeat.load.empty()) {
     peer.hasLoad = true;
     peer.load = aHeartbeat.load.front();
@@ -49,7 +59,12 @@
 
 auto PeerTable::OnFlowPlaced(std::uint32_t aIp) -> void
 {
-  const auto found = peers_.find(aIp);
+  auto found = peers_.find(aIp);
+  if (found == peers_.end() && IsFar(aIp)) {
+    found = peers_.try_emplace(aIp).first;
+    found->second.role = RelayRole::Agent;
+    found->second.lastHeartbeatAt = clock_.Now();
+  }
   if (found == peers_.end()) {
     ++placedAtUnknown_[aIp];
     return;
@@ -78,6 +93,9 @@
 
 auto PeerTable::IsSilent(std::uint32_t aIp) const -> bool
 {
+  if (IsFar(aIp)) {
+    return IsFarSilent(aIp);
+  }
   const auto now = clock_.Now();
   const auto* peer = Find(aIp);
   if (!peer) {
@@ -87,8 +105,54 @@
   }
   return peer->stopped ||
          now - peer->lastHeartbeatAt > kMaxMissedHeartbeats * period_ ||
-         (peer->placedSinceReport > 0 &&
-          now - peer->unansweredSince > kLoadReportTimeout);
+         LeavesFlowsUnanswered(*peer, now);
+}
+
+auto PeerTable::IsFarSilent(std::uint32_t aIp) const -> bool
+{
+  const auto now = clock_.Now();
+  const auto* peer = Find(aIp);
+  const bool stopped =
+    peer && peer->stopped && now - peer->lastHeartbeatAt < kFarStopLifetime;
+  return stopped || (peer && LeavesFlowsUnanswered(*peer, now)) ||
+         reports_.IsSilent(aIp);
+}
+
+auto PeerTable::SetFar(
+  const std::unordered_set<std::uint32_t>& aAgents,
+  const std::map<DomainId, std::vector<std::uint32_t>>& aDomains) -> void
+{
+  for (const auto ip : far_) {
+    const auto found = peers_.find(ip);
+    if (!aAgents.contains(ip) && found != peers_.end()) {
+      // Near from now on: its periodic heartbeats begin.
+      found->second.lastHeartbeatAt = clock_.Now();
+    }
+  }
+  far_ = aAgents;
+  reports_.SetMembers(aDomains);
+}
+
+auto PeerTable::UnansweringFar() const -> std::vector<std::uint32_t>
+{
+  const auto now = clock_.Now();
+  std::vector<std::uint32_t> agents;
+  for (const auto& [ip, peer] : peers_) {
+    if (IsFar(ip) && LeavesFlowsUnanswered(peer, now)) {
+      agents.push_back(ip);
+    }
+  }
+  return agents;
+}
+
+auto PeerTable::HasComparableLoad(std::uint32_t aIp) const -> bool
+{
+  if (!IsFar(aIp)) {
+    return true;
+  }
+  const auto* peer = Find(aIp);
+  return peer && peer->hasLoad &&
+         clock_.Now() - peer->loadAt <= kFarLoadLifetime;
 }
 
 auto PeerTable::HasStoppedWithoutFlows(std::uint32_t aIp) const -> bool
--- a/src/relay/peer_table.h
+++ b/src/relay/peer_table.h
@@ -1,11 +1,15 @@
 #pragma once
 
-// Liveness of other relays and the load of agents, from their heartbeats.
+// Liveness of other relays and the load of agents, from their heartbeats. Far
+// agents (heartbeat_plan.h) send none of their own accord; they are judged by
+// their answers and by the reports of their failure domains.
 
 #include "core/clock.h"
+#include "relay/domain_reports.h"
 #include "relay/peer_messages.h"
 
 #include <unordered_map>
+#include <unordered_set>
 
 namespace damaskwalk {
 
@@ -16,6 +20,7 @@
   bool stopped = false; // announced by the peer, and no new process heard since
   StateDigest digest;
   TimePoint lastHeartbeatAt;
+  TimePoint lastPeriodicAt; // last heartbeat that asked for no reply
   bool hasLoad = false;
   BackendLoad load;
   TimePoint loadAt;
@@ -39,9 +44,21 @@
   // First packets sent to the agent since its last load report.
   auto PlacedSinceReport(std::uint32_t aIp) const -> std::uint32_t;
   auto Find(std::uint32_t aIp) const -> const PeerRecord*;
-  // True if the peer has stopped, has missed several heartbeats since it was
-  // expected or last heard, or has not reported its load after a first packet,
-  // which agents do at once.
+  // Sets the far agents, by domain and in all.
+  auto SetFar(const std::unordered_set<std::uint32_t>& aAgents,
+              const std::map<DomainId, std::vector<std::uint32_t>>& aDomains)
+    -> void;
+  auto IsFar(std::uint32_t aIp) const -> bool { return far_.contains(aIp); }
+  // Far agents that have not reported their load after a first packet.
+  auto UnansweringFar() const -> std::vector<std::uint32_t>;
+  auto Reports() -> DomainReports& { return reports_; }
+  auto Reports() const -> const DomainReports& { return reports_; }
+  // True if the load of a far agent was reported recently enough to compare it
+  // with others. Always true for near ones.
+  auto HasComparableLoad(std::uint32_t aIp) const -> bool;
+  // True if the peer has stopped, has not reported its load after a first
+  // packet, which agents do at once, or has missed several heartbeats since it
+  // was expected or last heard; a far agent, if its domain reports so.
   auto IsSilent(std::uint32_t aIp) const -> bool;
   // The peer has stopped, and its backend server holds no flow.
   auto HasStoppedWithoutFlows(std::uint32_t aIp) const -> bool;
@@ -60,7 +77,11 @@
   auto MeanServiceTime(ServiceId aService) const -> std::chrono::microseconds;
 
 private:
+  auto IsFarSilent(std::uint32_t aIp) const -> bool;
+
   const Clock& clock_;
+  DomainReports reports_;
+  std::unordered_set<std::uint32_t> far_;
   Millis period_;
   std::unordered_map<std::uint32_t, PeerRecord> peers_;
   // Peers that have sent no heartbeat, with the time from which they are
--- a/src/relay/placement_expected_wait.cpp
+++ b/src/relay/placement_expected_wait.cpp
@@ -60,6 +60,9 @@
     if (!onTrial_.empty() && random_() % kFlowsPerTrial == 0) {
       return ChooseAny(onTrial_, "trial");
     }
+    if (near_.empty() && far_.empty() && !unknownFar_.empty()) {
+      return ChooseAny(unknownFar_, "unknown_load");
+    }
     if (near_.empty() && far_.empty()) {
       return doubtful_.empty() ? PlacementChoice{}
                                : ChooseAny(doubtful_, "doubtful");
@@ -79,6 +82,7 @@
   {
     near_.clear();
     far_.clear();
+    unknownFar_.clear();
     doubtful_.clear();
     onTrial_.clear();
     const bool needsFailing = order_.MustUseFailing(aService);
@@ -89,8 +93,7 @@
       }
       switch (PreferenceOf(known, needsFailing)) {
         case Preference::Preferred:
-          (known.target.failureDomain == init_.failureDomain ? near_ : far_)
-            .push_back(&known);
+          ListOf(known).push_back(&known);
           break;
         case Preference::Doubtful:
           doubtful_.push_back(&known);
@@ -105,6 +108,16 @@
     }
   }
 
+  // The list of a preferred target.
+  auto ListOf(const KnownTarget& aKnown) -> std::vector<const KnownTarget*>&
+  {
+    if (aKnown.target.failureDomain == init_.failureDomain) {
+      return near_;
+    }
+    return peers_.HasComparableLoad(aKnown.target.agent.ip) ? far_
+                                                            : unknownFar_;
+  }
+
   auto PreferenceOf(const KnownTarget& aKnown, bool aNeedsFailing) const
     -> Preference
   {
@@ -184,6 +197,7 @@
   // Scratch lists; members to save allocations.
   std::vector<const KnownTarget*> near_;
   std::vector<const KnownTarget*> far_;
+  std::vector<const KnownTarget*> unknownFar_; // without a recent report
   std::vector<const KnownTarget*> doubtful_;
   std::vector<const KnownTarget*> onTrial_;
 };
--- a/src/relay_node/relay_process.cpp
+++ b/src/relay_node/relay_process.cpp
@@ -45,6 +45,15 @@
   , settings_(aInit.settings)
   , state_(aInit.clock)
   , peers_(aInit.clock)
+  , exchange_({ aInit.settings.peers.ip,
+                aInit.settings.role,
+                aInit.settings.failureDomain,
+                ServiceIdOf(aInit.settings.service),
+                std::random_device{}() },
+              state_,
+              peers_,
+              aInit.clock,
+              *this)
   , readSchedule_(aInit.clock)
   , pullSchedule_(aInit.clock)
   , routeFindings_("routes", aInit.log)
@@ -59,11 +68,11 @@
                               settings_.peers.port))
   , tickTimer_(aInit.io)
   , signals_(aInit.io, SIGTERM, SIGHUP)
-  , nextHeartbeat_(aInit.clock.Now())
   , nextSweep_(aInit.clock.Now())
   , lastCallerPacket_(aInit.clock.Now())
   , lastTick_(aInit.clock.Now())
 {
+  exchange_.SetSeeds(settings_.seeds);
   if (settings_.role == RelayRole::Balancer) {
     const PlacementInit placement{ settings_.failureDomain,
                                    std::random_device{}() };
@@ -290,10 +299,7 @@
       Reload("file_changed");
     }
   }
-  if (now >= nextHeartbeat_) {
-    nextHeartbeat_ = now + peers_.HeartbeatPeriod();
-    SendHeartbeats();
-  }
+  exchange_.Tick(*this);
   const auto rank = ReaderRank(state_, agent_ ? settings_.packets : Endpoint{});
   if (!readingStore_ && !stopping_ && readSchedule_.IsDue(rank, state_.Age())) {
     asio::co_spawn(init_.io, ReadStore(), asio::detached);
@@ -338,6 +344,7 @@
   if (reloaded) {
     // Addresses and the role change only with a restart.
     settings_.seeds = std::move(reloaded->seeds);
+    exchange_.SetSeeds(settings_.seeds);
     settings_.stopTimeout = reloaded->stopTimeout;
   }
 }
@@ -365,7 +372,7 @@
   // An agent stops at once, as it has nothing to hand over: the sooner its
   // successor starts, the fewer packets are lost.
   if (agent_ || drained || now - stopBegan_ >= settings_.stopTimeout) {
-    AnnounceSelf();
+    exchange_.AnnounceStop(*this);
     FlushAll();
     init_.io.stop();
   }
--- a/src/relay_node/relay_process.h
+++ b/src/relay_node/relay_process.h
@@ -5,6 +5,7 @@
 
 #include "relay/agent_relay.h"
 #include "relay/balancer_relay.h"
+#include "relay/peer_exchange.h"
 #include "relay/pull_schedule.h"
 #include "relay/read_schedule.h"
 #include "relay_node/bounded_log.h"
@@ -69,7 +70,9 @@
 
 class AnswerHistogram;
 
-class RelayProcess final : public RelayPort
+class RelayProcess final
+  : public RelayPort
+  , private PeerExchangeHost
 {
 public:
   // @throws boost::system::system_error if an address is in use.
@@ -108,12 +111,12 @@
 
   // Peers.
   auto OnPeerDatagram(std::span<char> aBytes, const Endpoint& aFrom) -> void;
-  auto OnHeartbeat(std::uint32_t aIp, const RelayHeartbeat& aHeartbeat) -> void;
-  auto MakeHeartbeat() -> RelayHeartbeat;
-  auto SendHeartbeats() -> void;
+  auto MakeHeartbeat() -> RelayHeartbeat override;
+  auto PullState(std::uint32_t aIp) -> void override;
+  auto OnBalancer(std::uint32_t aIp) -> void override;
+  auto OnAgentStarted() -> void override;
   auto ReportLoadTo(std::uint32_t aIp) -> void;
   auto AnnounceSelf() -> void;
-  auto KnownPeers() const -> std::unordered_set<std::uint32_t>;
 
   // State.
   auto ServePeers() -> Task;
@@ -143,6 +146,7 @@
   RelaySettings settings_;
   FleetState state_;
   PeerTable peers_;
+  PeerExchange exchange_;
   ReadSchedule readSchedule_;
   PullSchedule pullSchedule_;
   FindingLog routeFindings_;
@@ -165,7 +169,6 @@
 
   std::deque<WaitingPacket> waitingPackets_;
   std::unordered_map<std::uint32_t, TimePoint> loadReportedAt_;
-  TimePoint nextHeartbeat_;
   TimePoint nextSweep_;
   TimePoint lastCallerPacket_;
   TimePoint lastTick_;
--- /dev/null
+++ b/src/relay_node/relay_state.cpp
@@ -0,0 +1,219 @@
+// The part of a relay process that reads the store and exchanges state.
+
+#include "relay/limits.h"
+#include "relay_node/relay_process.h"
+#include "runtime/bulk.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+namespace damaskwalk {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+// A state of one megabyte takes most of a second over the slowest link.
+constexpr Millis kPullTimeout{ 1500 };
+
+} // namespace
+
+auto RelayProcess::ServePeers() -> Task
+{
+  for (;;) {
+    auto [error, socket] = co_await peerAcceptor_.async_accept(kAwait);
+    if (error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (!error) {
+      asio::co_spawn(init_.io, ServePeer(std::move(socket)), asio::detached);
+    }
+  }
+}
+
+auto RelayProcess::ServePeer(asio::ip::tcp::socket aSocket) -> Task
+{
+  beast::tcp_stream stream(std::move(aSocket));
+  stream.expires_after(kPullTimeout);
+  const auto bytes = co_await ReadBulk(stream);
+  if (!bytes) {
+    co_return;
+  }
+  const auto reply = MakeStateReply(leaf::try_handle_all(
+    [&]() -> leaf::result<StateRequest> { return DecodeStateRequest(*bytes); },
+    [this] {
+      ++malformedPeerMessages_;
+      return StateRequest{};
+    }));
+  co_await WriteBulk(stream, reply);
+}
+
+auto RelayProcess::MakeStateReply(const StateRequest& aRequest) -> std::string
+{
+  StateReply reply;
+  reply.digest = state_.Digest();
+  if (state_.HasState()) {
+    if (reply.digest.routes > aRequest.have.routes) {
+      reply.routes.push_back(state_.Routes());
+    }
+    if (reply.digest.targets > aRequest.have.targets &&
+        reply.digest.targetsHash != aRequest.have.targetsHash) {
+      reply.targets.push_back(state_.Targets());
+    }
+  }
+  return EncodeStateReply(reply);
+}
+
+auto RelayProcess::StartPull(std::uint32_t aIp) -> void
+{
+  if (aIp == settings_.peers.ip || !pullSchedule_.Begin(aIp)) {
+    return;
+  }
+  asio::co_spawn(init_.io, PullFrom(aIp), asio::detached);
+}
+
+auto RelayProcess::PullFrom(std::uint32_t aIp) -> Task
+{
+  const auto digestBefore = state_.Digest();
+  const auto began = init_.clock.Now();
+  const auto answer = co_await CallBulk({ aIp, settings_.peers.port },
+                                        EncodeStateRequest({ digestBefore }),
+                                        kPullTimeout);
+  pullSchedule_.End(aIp);
+  if (answer.status != CallStatus::Replied) {
+    co_return;
+  }
+  const auto took =
+    std::chrono::duration_cast<Millis>(init_.clock.Now() - began);
+  leaf::try_handle_all(
+    [&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(reply, DecodeStateReply(answer.bytes));
+      const bool starting = !state_.HasState();
+      bool changed = false;
+      for (auto& table : reply.routes) {
+        changed |= state_.UpdateRoutes(std::move(table));
+      }
+      for (const auto& set : reply.targets) {
+        changed |= state_.UpdateTargets(set, reply.digest.age + took);
+      }
+      if (changed) {
+        OnStateChanged("peer");
+        exchange_.OnStatePulled(aIp, *this);
+      }
+      if (starting && state_.HasState()) {
+        // Peers may still know the VM's previous process as stopped.
+        AnnounceSelf();
+      }
+      return {};
+    },
+    [this] { ++malformedPeerMessages_; });
+  FlushAll();
+}
+
+auto RelayProcess::ReadStore() -> Task
+{
+  readingStore_ = true;
+  const auto began = init_.clock.Now();
+  const bool wantsRoutes =
+    readSchedule_.WantsRoutes() || state_.Routes().version == 0;
+  auto targets = co_await init_.source.ReadTargets();
+  bool changed = false;
+  bool succeeded = true;
+  if (const auto* error = std::get_if<StateSourceError>(&targets)) {
+    OnStoreError("targets", *error);
+    succeeded = false;
+  } else {
+    const auto took =
+      std::chrono::duration_cast<Millis>(init_.clock.Now() - began);
+    const auto& read = std::get<Decoded<TargetSet>>(targets);
+    targetFindings_.Update(read.value.revision, read.findings);
+    changed |= state_.UpdateTargets(read.value, took);
+  }
+  if (succeeded && wantsRoutes) {
+    auto routes = co_await init_.source.ReadRoutes();
+    if (const auto* error = std::get_if<StateSourceError>(&routes)) {
+      OnStoreError("routes", *error);
+      succeeded = false;
+    } else {
+      changed |=
+        OnRoutesRead(std::get<Decoded<std::optional<RouteTable>>>(routes));
+    }
+  }
+  readingStore_ = false;
+  readSchedule_.OnReadFinished(succeeded);
+  if (succeeded) {
+    OnStoreReadSucceeded();
+  }
+  if (changed) {
+    OnStateChanged("store");
+  }
+  if (succeeded) {
+    AnnounceSelf();
+  }
+  FlushAll();
+}
+
+auto RelayProcess::OnRoutesRead(Decoded<std::optional<RouteTable>>& aRead)
+  -> bool
+{
+  if (!aRead.value && aRead.findings.empty()) {
+    return false; // unchanged
+  }
+  const auto version =
+    aRead.value ? aRead.value->version : state_.Routes().version;
+  routeFindings_.Update(version, aRead.findings);
+  return aRead.value && state_.UpdateRoutes(std::move(*aRead.value));
+}
+
+auto RelayProcess::OnStoreError(const char* aWhat, StateSourceError aError)
+  -> void
+{
+  if (!std::exchange(storeLost_, true)) {
+    init_.log.Write(EventLevel::Warning,
+                    Event("store_lost")
+                      .With("reading", aWhat)
+                      .With("cause", ToText(aError))
+                      .With("age_ms", state_.Digest().age.count())
+                      .Text());
+  }
+}
+
+auto RelayProcess::OnStoreReadSucceeded() -> void
+{
+  if (std::exchange(storeLost_, false)) {
+    init_.log.Write(EventLevel::Info, Event("store_regained").Text());
+  }
+}
+
+auto RelayProcess::OnStateChanged(const char* aCause) -> void
+{
+  std::size_t open = 0;
+  for (const auto& known : state_.KnownTargets()) {
+    open += known.standing == TargetStanding::Open ? 1 : 0;
+  }
+  const auto digest = state_.Digest();
+  init_.log.Write(EventLevel::Info,
+                  Event("state_in_force")
+                    .With("cause", aCause)
+                    .With("routes", digest.routes)
+                    .With("targets", digest.targets)
+                    .With("age_ms", digest.age.count())
+                    .With("open_targets", open)
+                    .With("known_targets", state_.KnownTargets().size())
+                    .Text());
+  exchange_.OnStateChanged();
+  if (agent_) {
+    agent_->OnStateChanged();
+  }
+  if (state_.HasState() && !waitingPackets_.empty()) {
+    ReplayWaitingPackets();
+  }
+}
+
+} // namespace damaskwalk
