Ask all agents at once for a flow that nobody is known to have

Registrations come back one by one, so a view differed somewhere: 16,800 searches ended with search_again in six seconds, callers waited for their deadlines (1,485 requests failed), and the packets crossed failure domains at four hops of five (0.5 GB).

Beyond 16 agents the second directory agent now asks for the flow (FlowQueries): the agents of its domain itself, those of other domains by one agent there. It compares the answers with its own view, keeps them, and asks the missing ones again for 3 s. The flow is reset when everybody who may have it is certain not to: it has a complete table, or its server returned the packet. A far agent whose target is gone no longer swallows packets, as nobody watches it.

Tests: tests/relay_lost_flow_test.cpp; TheVerdictWaitsForTheLastAgentOnly and LossDelaysTheVerdictOnly fail with the walk. The model of any faults runs with a service of 20 agents as well, 1,000 cases.

--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -24,6 +24,7 @@
   , trackingSince_(aClock.Now())
   , trackedIdleTimeout_(kDefaultIdleTimeout)
   , postponed_(aClock)
+  , queries_(aInit.self, aState, aPeers, aClock)
 {
 }
 
@@ -56,13 +57,11 @@
     flows_.erase(found);
     return;
   }
+  if (OpenedElsewhere(own, aPacket)) {
+    Search(aPacket, aPort);
+    return;
+  }
   if (own.phase == Phase::Opening && own.answered && aPacket.acknowledges) {
-    if (!AtOrAfter(aPacket.acknowledgement, own.backendSequence + 1) ||
-        aPacket.acknowledgement - own.backendSequence > (1U << 20)) {
-      // The caller accepted another backend server's answer.
-      Search(aPacket, aPort);
-      return;
-    }
     own.phase = Phase::Open;
   }
   if (aPacket.tag.wantsHint) {
@@ -71,6 +70,17 @@
   Deliver(own, aPacket, aPort);
 }
 
+auto AgentRelay::OpenedElsewhere(const OwnFlow& aOwn,
+                                 const Packet& aPacket) const -> bool
+{
+  constexpr std::uint32_t kMaxAcknowledgedBytes = 1U << 20;
+  if (aOwn.phase != Phase::Opening || !aOwn.answered || !aPacket.acknowledges) {
+    return false;
+  }
+  return !AtOrAfter(aPacket.acknowledgement, aOwn.backendSequence + 1) ||
+         aPacket.acknowledgement - aOwn.backendSequence > kMaxAcknowledgedBytes;
+}
+
 auto AgentRelay::Deliver(OwnFlow& aOwn, const Packet& aPacket, RelayPort& aPort)
   -> void
 {
@@ -95,6 +105,7 @@
   }
   ++counters_.toCallers;
   aPort.SendToCaller(aPacket);
+  ResolveQuestions(aPacket.flow, true, aPort);
   auto [found, isNew] = flows_.try_emplace(aPacket.flow);
   auto& own = found->second;
   own.lastPacket = clock_.Now();
@@ -153,7 +164,10 @@
     return;
   }
   if (found == flows_.end() || found->second.phase == Phase::Opening) {
-    Search(aPacket, aPort);
+    ResolveQuestions(aPacket.flow, false, aPort);
+    if (aPacket.tag.hops != RelayTag::kQueryHops) {
+      Search(aPacket, aPort);
+    }
     return;
   }
   if (found->second.phase == Phase::Open) {
--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -7,6 +7,7 @@
 #include "core/event.h"
 #include "relay/backend_meter.h"
 #include "relay/content_reader.h"
+#include "relay/flow_queries.h"
 #include "relay/opening_queue.h"
 #include "relay/packet.h"
 #include "relay/postponed_searches.h"
@@ -38,6 +39,7 @@
   std::uint64_t followed = 0;   // later packets forwarded by a record
   std::uint64_t searched = 0;   // later packets forwarded without one
   std::uint64_t searchEnded = 0;
+  std::uint64_t asked = 0;    // queries of other agents
   std::uint64_t returned = 0; // packets that the backend server refused
   std::uint64_t resets = 0;
   std::uint64_t requests = 0;
@@ -77,6 +79,12 @@
   // The backend server's port is closed: its process is dead.
   auto OnBackendDown(RelayPort& aPort) -> void;
   auto OnRegistration(const FlowRegistration& aRegistration) -> void;
+  // Another agent asks for the flow of a packet.
+  auto OnFlowQuery(std::uint32_t aAsker,
+                   bool aWholeDomain,
+                   Packet aPacket,
+                   RelayPort& aPort) -> void;
+  auto OnFlowAnswer(const FlowAnswer& aAnswer, RelayPort& aPort) -> void;
   // A balancer sent a heartbeat; it can be found by its tag from now on.
   auto OnBalancer(std::uint32_t aIp) -> void;
   // Address of the VM of the balancer with a tag; nothing if no heartbeat of it
@@ -165,14 +173,14 @@
     -> void;
   // For a first packet that CanBeServed refuses. If an answer could still come
   // in time, it is left to its next retransmission, which may find a shorter
-  // queue; otherwise it is refused at once. (Callers react to a refusal with the
-  // next try within milliseconds, so early refusals would use up all their tries
-  // within one surge.)
+  // queue; otherwise it is refused at once. (Callers react to a refusal with
+  // the next try within milliseconds, so early refusals would use up all their
+  // tries within one surge.)
   auto DeferOrRefuse(const WaitingOpening& aOpening, RelayPort& aPort) -> void;
   auto Refuse(const WaitingOpening& aOpening, RelayPort& aPort) -> void;
   auto LogOverload(const char* aEvent, const WaitingOpening& aOpening) -> void;
-  // True if the opening, queued now, is expected to be answered on time, or late
-  // but before it expires.
+  // True if the opening, queued now, is expected to be answered on time, or
+  // late but before it expires.
   auto CanBeServed(const WaitingOpening& aOpening) const -> bool;
   // Expected time to the answer on a flow that opens now.
   auto TimeToAnswerNow() const -> std::chrono::microseconds;
@@ -196,6 +204,23 @@
                 const RelayRoute& aRoute,
                 const char* aCause,
                 RelayPort& aPort) -> void;
+  // True if the caller accepted another backend server's answer.
+  auto OpenedElsewhere(const OwnFlow& aOwn, const Packet& aPacket) const
+    -> bool;
+  // True if this agent's backend server holds no flow that is not in the table.
+  auto IsCertainOfFlows(const RelayRoute& aRoute) const -> bool;
+  // Sends the packet to a directory agent that it has not visited, or asks all
+  // agents for its flow.
+  auto AskForFlow(Packet& aPacket, const RelayRoute& aRoute, RelayPort& aPort)
+    -> void;
+  auto AnswerQuery(std::uint32_t aAsker,
+                   const FlowKey& aFlow,
+                   bool aHolds,
+                   RelayPort& aPort) -> void;
+  // The backend server returned a packet of the flow, or sent one.
+  auto ResolveQuestions(const FlowKey& aFlow, bool aHolds, RelayPort& aPort)
+    -> void;
+  auto ResetLostFlows(RelayPort& aPort) -> void;
   // Forwards a later packet of a flow that is not in this agent's table.
   auto Search(Packet& aPacket, RelayPort& aPort) -> void;
   // True if entries were kept for the whole idle timeout, so that every live
@@ -243,6 +268,15 @@
   std::unordered_map<FlowKey, OpeningPacket, KeyHash> openings_;
   OpeningQueue queue_;
   PostponedSearches postponed_;
+  FlowQueries queries_;
+  // Flows for which a packet was sent to the backend server on behalf of other
+  // agents.
+  struct Question
+  {
+    std::vector<std::uint32_t> askers;
+    TimePoint since;
+  };
+  std::unordered_map<FlowKey, Question, KeyHash> questions_;
   // Flows for whose first request room is kept, oldest first. A flow is listed
   // again when the request begins to arrive.
   std::deque<std::pair<TimePoint, FlowKey>> awaitingFirstRequest_;
--- a/src/relay/agent_relay_opening.cpp
+++ b/src/relay/agent_relay_opening.cpp
@@ -148,9 +148,8 @@
 
 auto AgentRelay::TimeToAnswerNow() const -> std::chrono::microseconds
 {
-  return TimeToAnswer(meter_.InFlight() + awaitedRequests_,
-                      meter_.Slots(),
-                      meter_.ServiceTime());
+  return TimeToAnswer(
+    meter_.InFlight() + awaitedRequests_, meter_.Slots(), meter_.ServiceTime());
 }
 
 auto AgentRelay::CanBeServed(const WaitingOpening& aOpening) const -> bool
@@ -297,6 +296,11 @@
 {
   ExpireOpenings(aPort);
   RetrySearches(aPort);
+  queries_.Tick(aPort);
+  ResetLostFlows(aPort);
+  std::erase_if(questions_, [this](const auto& aEntry) {
+    return clock_.Now() - aEntry.second.since > kDomainAnswerTimeout;
+  });
 }
 
 auto AgentRelay::ExpireOpenings(RelayPort& aPort) -> void
--- a/src/relay/agent_relay_search.cpp
+++ b/src/relay/agent_relay_search.cpp
@@ -17,12 +17,16 @@
   }
   // A live flow has had a packet here within the idle timeout. Until entries
   // were kept for that long, only the backend server knows whether it has it.
-  if (!HasCompleteFlowTable() && !aPacket.returned && !meter_.IsDown() &&
-      !flows_.contains(aPacket.flow) && route->Allows(Service())) {
+  if (!IsCertainOfFlows(*route) && !aPacket.returned &&
+      !flows_.contains(aPacket.flow)) {
     ++counters_.delivered;
     aPort.SendToBackend(aPacket);
     return;
   }
+  if (queries_.Covers(*route)) {
+    AskForFlow(aPacket, *route, aPort);
+    return;
+  }
   auto& tag = aPacket.tag;
   SearchStep step;
   if (tag.searching) {
@@ -47,6 +51,127 @@
   aPort.SendToAgent(*step.agent, aPacket);
 }
 
+auto AgentRelay::IsCertainOfFlows(const RelayRoute& aRoute) const -> bool
+{
+  return HasCompleteFlowTable() || meter_.IsDown() || !aRoute.Allows(Service());
+}
+
+auto AgentRelay::AskForFlow(Packet& aPacket,
+                            const RelayRoute& aRoute,
+                            RelayPort& aPort) -> void
+{
+  constexpr std::uint8_t kMaxHopsBeforeQuery = 3;
+  auto& tag = aPacket.tag;
+  const auto directories = order_.DirectoryAgents(aRoute, aPacket.flow);
+  const bool isFirst =
+    !directories.empty() && directories.front() == init_.self;
+  const bool isLast = directories.empty() || directories.back() == init_.self;
+  if (!tag.searching && !isLast && tag.hops < kMaxHopsBeforeQuery) {
+    ++counters_.searched;
+    ++tag.hops;
+    // The second directory agent is the last to look for a record.
+    tag.searching = isFirst;
+    aPort.SendToAgent(isFirst ? directories.back() : directories.front(),
+                      aPacket);
+    return;
+  }
+  if (!aPacket.resets) {
+    queries_.Begin(aPacket, aRoute, aPort);
+    ResetLostFlows(aPort);
+  }
+}
+
+auto AgentRelay::OnFlowQuery(std::uint32_t aAsker,
+                             bool aWholeDomain,
+                             Packet aPacket,
+                             RelayPort& aPort) -> void
+{
+  ++counters_.asked;
+  const auto* route = state_.FindRoute(aPacket.flow.address);
+  if (!route || aPacket.opens || aPacket.returned) {
+    return;
+  }
+  auto asker = aAsker;
+  if (aWholeDomain) {
+    queries_.BeginDomain(aAsker, aPacket, *route, aPort);
+    asker = init_.self.ip;
+  }
+  const auto found = flows_.find(aPacket.flow);
+  if (found != flows_.end() && !OpenedElsewhere(found->second, aPacket)) {
+    AnswerQuery(asker, aPacket.flow, true, aPort);
+    OnLaterPacket(aPacket, aPort);
+  } else if (found != flows_.end() || IsCertainOfFlows(*route)) {
+    AnswerQuery(asker, aPacket.flow, false, aPort);
+  } else {
+    auto& question = questions_[aPacket.flow];
+    question.askers.push_back(asker);
+    question.since = clock_.Now();
+    ++counters_.delivered;
+    aPacket.tag.hops = RelayTag::kQueryHops;
+    aPort.SendToBackend(aPacket);
+  }
+}
+
+auto AgentRelay::AnswerQuery(std::uint32_t aAsker,
+                             const FlowKey& aFlow,
+                             bool aHolds,
+                             RelayPort& aPort) -> void
+{
+  FlowAnswer answer;
+  answer.flow = aFlow;
+  if (aHolds) {
+    answer.holder = init_.self;
+  } else {
+    answer.certain.push_back(init_.self.ip);
+  }
+  if (aAsker == init_.self.ip) {
+    OnFlowAnswer(answer, aPort);
+  } else {
+    aPort.SendToPeer(aAsker, PeerMessage{ std::move(answer) });
+  }
+}
+
+auto AgentRelay::OnFlowAnswer(const FlowAnswer& aAnswer, RelayPort& aPort)
+  -> void
+{
+  queries_.OnAnswer(aAnswer, aPort);
+  ResetLostFlows(aPort);
+}
+
+auto AgentRelay::ResolveQuestions(const FlowKey& aFlow,
+                                  bool aHolds,
+                                  RelayPort& aPort) -> void
+{
+  const auto found = questions_.find(aFlow);
+  if (found == questions_.end()) {
+    return;
+  }
+  const auto askers = std::move(found->second.askers);
+  questions_.erase(found);
+  for (const auto asker : askers) {
+    AnswerQuery(asker, aFlow, aHolds, aPort);
+  }
+}
+
+auto AgentRelay::ResetLostFlows(RelayPort& aPort) -> void
+{
+  for (const auto& owned : queries_.TakeLost()) {
+    const auto& packet = owned->Get();
+    ++counters_.searchEnded;
+    ++counters_.resets;
+    log_.Write(EventLevel::Warning,
+               Event("flow_not_found")
+                 .With("flow", ToText(packet.flow))
+                 .With("outcome", "reset")
+                 .With("every_agent_asked", true)
+                 .With("hops", packet.tag.hops)
+                 .With("targets", state_.Targets().revision)
+                 .With("age_ms", state_.Digest().age.count())
+                 .Text());
+    aPort.ResetCaller(packet.flow, packet.acknowledgement);
+  }
+}
+
 auto AgentRelay::HasCompleteFlowTable() const -> bool
 {
   return clock_.Now() - trackingSince_ >= state_.IdleTimeout();
--- /dev/null
+++ b/src/relay/flow_queries.cpp
@@ -0,0 +1,231 @@
+#include "relay/flow_queries.h"
+
+#include "relay/limits.h"
+
+#include <algorithm>
+#include <map>
+
+namespace damaskwalk {
+
+namespace {
+
+// True if a flow cannot be called lost without the target's answer.
+auto MustAnswer(const KnownTarget& aKnown, const PeerTable& aPeers) -> bool
+{
+  const auto ip = aKnown.target.agent.ip;
+  if (aKnown.standing == TargetStanding::Gone) {
+    return !aPeers.IsFar(ip) && !aPeers.IsSilent(ip);
+  }
+  return !aPeers.HasStoppedWithoutFlows(ip);
+}
+
+} // namespace
+
+FlowQueries::FlowQueries(const Endpoint& aSelf,
+                         const FleetState& aState,
+                         const PeerTable& aPeers,
+                         const Clock& aClock)
+  : self_(aSelf)
+  , state_(aState)
+  , peers_(aPeers)
+  , clock_(aClock)
+  , random_(HashOf(aSelf))
+{
+}
+
+auto FlowQueries::Covers(const RelayRoute& aRoute) const -> bool
+{
+  std::size_t agents = 0;
+  for (const auto& entry : aRoute.services) {
+    agents += state_.TargetsOfService(entry.service).size();
+  }
+  return agents > kMaxWalkedAgents;
+}
+
+auto FlowQueries::OwnDomain() const -> std::string
+{
+  const auto* own = state_.FindAgent(self_);
+  return own ? own->target.failureDomain : std::string();
+}
+
+auto FlowQueries::MakeQuery(const Packet& aPacket, std::uint32_t aAsker) const
+  -> Query
+{
+  Query query;
+  query.packet = std::make_unique<OwnedPacket>(aPacket);
+  query.asker = aAsker;
+  query.began = clock_.Now();
+  return query;
+}
+
+auto FlowQueries::Missing(const Query& aQuery, const RelayRoute& aRoute) const
+  -> std::vector<const KnownTarget*>
+{
+  std::vector<const KnownTarget*> missing;
+  for (const auto& entry : aRoute.services) {
+    for (const auto index : state_.TargetsOfService(entry.service)) {
+      const auto& known = state_.KnownTargets()[index];
+      if (!aQuery.certain.contains(known.target.agent.ip) &&
+          MustAnswer(known, peers_)) {
+        missing.push_back(&known);
+      }
+    }
+  }
+  return missing;
+}
+
+auto FlowQueries::Begin(const Packet& aPacket,
+                        const RelayRoute& aRoute,
+                        RelayPort& aPort) -> void
+{
+  if (own_.contains(aPacket.flow) || own_.size() >= kMaxFlowQueries) {
+    return;
+  }
+  auto query = MakeQuery(aPacket, 0);
+  query.certain.insert(self_.ip);
+  const auto entry = own_.emplace(aPacket.flow, std::move(query)).first;
+  Ask(entry->second, aRoute, aPort);
+  Conclude(entry);
+}
+
+auto FlowQueries::BeginDomain(std::uint32_t aAsker,
+                              const Packet& aPacket,
+                              const RelayRoute& aRoute,
+                              RelayPort& aPort) -> void
+{
+  if (domain_.contains(aPacket.flow) || domain_.size() >= kMaxFlowQueries) {
+    return;
+  }
+  const auto entry =
+    domain_.emplace(aPacket.flow, MakeQuery(aPacket, aAsker)).first;
+  const auto domain = OwnDomain();
+  for (const auto* known : Missing(entry->second, aRoute)) {
+    const auto ip = known->target.agent.ip;
+    if (known->target.failureDomain == domain && ip != self_.ip) {
+      AskAgent(ip, false, entry->second, aPort);
+    }
+  }
+}
+
+auto FlowQueries::AskAgent(std::uint32_t aIp,
+                           bool aWholeDomain,
+                           const Query& aQuery,
+                           RelayPort& aPort) const -> void
+{
+  const auto bytes = aQuery.packet->Get().bytes;
+  aPort.SendToPeer(
+    aIp,
+    PeerMessage{ FlowQuery{ aWholeDomain, { bytes.data(), bytes.size() } } });
+}
+
+auto FlowQueries::Ask(Query& aQuery, const RelayRoute& aRoute, RelayPort& aPort)
+  -> void
+{
+  aQuery.nextRound =
+    clock_.Now() + kFlowQueryRound * (std::int64_t{ 1 } << aQuery.rounds);
+  ++aQuery.rounds;
+  std::map<std::string, std::vector<std::uint32_t>> byDomain;
+  for (const auto* known : Missing(aQuery, aRoute)) {
+    const auto ip = known->target.agent.ip;
+    if (!peers_.IsSilent(ip)) {
+      byDomain[known->target.failureDomain].push_back(ip);
+    }
+  }
+  const auto own = OwnDomain();
+  for (const auto& [domain, agents] : byDomain) {
+    if (domain == own || agents.size() < kMinAgentsForDomainQuery) {
+      for (const auto ip : agents) {
+        AskAgent(ip, false, aQuery, aPort);
+      }
+    } else {
+      AskAgent(agents[random_() % agents.size()], true, aQuery, aPort);
+    }
+  }
+}
+
+auto FlowQueries::Conclude(Table::iterator aQuery) -> bool
+{
+  const auto* route = state_.FindRoute(aQuery->first.address);
+  if (route && !Missing(aQuery->second, *route).empty()) {
+    return false;
+  }
+  if (route) {
+    lost_.push_back(std::move(aQuery->second.packet));
+  }
+  own_.erase(aQuery);
+  return true;
+}
+
+auto FlowQueries::AnswerForDomain(const FlowKey& aFlow,
+                                  const Query& aQuery,
+                                  const Endpoint& aHolder,
+                                  RelayPort& aPort) const -> void
+{
+  FlowAnswer answer;
+  answer.flow = aFlow;
+  answer.holder = aHolder;
+  answer.certain.assign(aQuery.certain.begin(), aQuery.certain.end());
+  aPort.SendToPeer(aQuery.asker, PeerMessage{ std::move(answer) });
+}
+
+auto FlowQueries::OnAnswer(const FlowAnswer& aAnswer, RelayPort& aPort) -> void
+{
+  const auto own = own_.find(aAnswer.flow);
+  if (own != own_.end()) {
+    if (aAnswer.holder.IsValid()) {
+      own_.erase(own);
+    } else {
+      own->second.certain.insert(aAnswer.certain.begin(),
+                                 aAnswer.certain.end());
+      Conclude(own);
+    }
+  }
+  const auto asked = domain_.find(aAnswer.flow);
+  if (asked == domain_.end()) {
+    return;
+  }
+  auto& query = asked->second;
+  query.certain.insert(aAnswer.certain.begin(), aAnswer.certain.end());
+  const auto* route = state_.FindRoute(aAnswer.flow.address);
+  const auto domain = OwnDomain();
+  const bool complete =
+    route &&
+    std::ranges::none_of(Missing(query, *route), [&](const auto* aKnown) {
+      return aKnown->target.failureDomain == domain;
+    });
+  if (aAnswer.holder.IsValid() || complete) {
+    AnswerForDomain(aAnswer.flow, query, aAnswer.holder, aPort);
+    domain_.erase(asked);
+  }
+}
+
+auto FlowQueries::TakeLost() -> std::vector<std::unique_ptr<OwnedPacket>>
+{
+  return std::exchange(lost_, {});
+}
+
+auto FlowQueries::Tick(RelayPort& aPort) -> void
+{
+  const auto now = clock_.Now();
+  for (auto entry = domain_.begin(); entry != domain_.end();) {
+    if (now - entry->second.began < kDomainAnswerTimeout) {
+      ++entry;
+      continue;
+    }
+    AnswerForDomain(entry->first, entry->second, {}, aPort);
+    entry = domain_.erase(entry);
+  }
+  for (auto entry = own_.begin(); entry != own_.end();) {
+    auto& query = entry->second;
+    const auto next = std::next(entry);
+    const auto* route = state_.FindRoute(entry->first.address);
+    if (!route || now - query.began >= kFlowQueryLifetime) {
+      own_.erase(entry);
+    } else if (now >= query.nextRound && !Conclude(entry)) {
+      Ask(query, *route, aPort);
+    }
+    entry = next;
+  }
+}
+
+} // namespace damaskwalk
--- /dev/null
+++ b/src/relay/flow_queries.h
@@ -0,0 +1,94 @@
+#pragma once
+
+// Asks all agents at once for a flow that nobody is known to have.
+//
+// Answers the loss of power of a whole fleet: thousands of callers send packets
+// on flows that died, and each has to hear so before it opens a new one. A
+// packet that walks along a hundred agents is slow, crosses failure domains at
+// each step, and has no result if one view on its way differs. Here the asking
+// agent compares the answers with its own view, keeps them while it asks the
+// rest again, and has one agent of each other domain ask the agents there.
+
+#include "relay/packet.h"
+#include "relay/postponed_searches.h"
+#include "relay/search_order.h"
+
+#include <memory>
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace damaskwalk {
+
+// Single threaded.
+class FlowQueries
+{
+public:
+  FlowQueries(const Endpoint& aSelf,
+              const FleetState& aState,
+              const PeerTable& aPeers,
+              const Clock& aClock);
+
+  // True if the route has more agents than a packet should walk along.
+  auto Covers(const RelayRoute& aRoute) const -> bool;
+  // Asks for the packet's flow on behalf of this agent, which is certain not to
+  // have it. Ignored if it is being asked for, or if too many are.
+  auto Begin(const Packet& aPacket, const RelayRoute& aRoute, RelayPort& aPort)
+    -> void;
+  // Asks the agents of this domain on behalf of another agent.
+  // @param aAsker address of the agent that gets the answer.
+  auto BeginDomain(std::uint32_t aAsker,
+                   const Packet& aPacket,
+                   const RelayRoute& aRoute,
+                   RelayPort& aPort) -> void;
+  auto OnAnswer(const FlowAnswer& aAnswer, RelayPort& aPort) -> void;
+  // The packet of each flow that no agent has. Every agent that may have it has
+  // answered.
+  auto TakeLost() -> std::vector<std::unique_ptr<OwnedPacket>>;
+  // Asks again those that have not answered, and answers for the domain. To be
+  // called every few tens of milliseconds.
+  auto Tick(RelayPort& aPort) -> void;
+
+  auto Size() const -> std::size_t { return own_.size() + domain_.size(); }
+
+private:
+  struct Query
+  {
+    std::unique_ptr<OwnedPacket> packet;
+    std::uint32_t asker = 0; // 0: this agent
+    std::set<std::uint32_t> certain;
+    TimePoint began;
+    TimePoint nextRound;
+    std::uint32_t rounds = 0;
+  };
+  using Table = std::unordered_map<FlowKey, Query, KeyHash>;
+
+  auto MakeQuery(const Packet& aPacket, std::uint32_t aAsker) const -> Query;
+  // Agents of the route that have not answered and could have the flow.
+  auto Missing(const Query& aQuery, const RelayRoute& aRoute) const
+    -> std::vector<const KnownTarget*>;
+  auto Ask(Query& aQuery, const RelayRoute& aRoute, RelayPort& aPort) -> void;
+  auto AskAgent(std::uint32_t aIp,
+                bool aWholeDomain,
+                const Query& aQuery,
+                RelayPort& aPort) const -> void;
+  // Moves the query to the lost flows if nobody is missing.
+  auto Conclude(Table::iterator aQuery) -> bool;
+  auto AnswerForDomain(const FlowKey& aFlow,
+                       const Query& aQuery,
+                       const Endpoint& aHolder,
+                       RelayPort& aPort) const -> void;
+  auto OwnDomain() const -> std::string;
+
+  Endpoint self_;
+  const FleetState& state_;
+  const PeerTable& peers_;
+  const Clock& clock_;
+  std::mt19937_64 random_;
+  Table own_;
+  Table domain_; // asked for other domains' agents
+  std::vector<std::unique_ptr<OwnedPacket>> lost_;
+};
+
+} // namespace damaskwalk
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -138,6 +138,22 @@
 // Consecutive unanswered first packets that make a backend server unresponsive.
 constexpr std::uint32_t kUnresponsiveThreshold = 2;
 
+// A lost flow of a route with more agents than this is asked for at all of them
+// at once; with fewer, its packets walk along them.
+constexpr std::size_t kMaxWalkedAgents = 16;
+// Most flows that an agent asks for at a time; each holds a datagram.
+constexpr std::size_t kMaxFlowQueries = 1024;
+// Those that have not answered are asked again after this time, then after
+// twice and four times as long and so on. Processes that lost power together
+// start within a second.
+constexpr Millis kFlowQueryRound{ 100 };
+constexpr Millis kFlowQueryLifetime{ 3000 };
+// A domain answers for itself after this time at the latest, within which a
+// backend server returns a packet.
+constexpr Millis kDomainAnswerTimeout{ 60 };
+// Fewer missing agents of a domain are asked directly.
+constexpr std::size_t kMinAgentsForDomainQuery = 3;
+
 // Packets held while a starting process has no state yet.
 constexpr std::size_t kMaxWaitingPackets = 512;
 // Callers have retransmitted a held packet by then.
--- a/src/relay/packet.h
+++ b/src/relay/packet.h
@@ -15,6 +15,10 @@
 // the flow reads.
 struct RelayTag
 {
+  // Value of hops in a packet that asks its backend server for the flow, on
+  // behalf of another agent.
+  static constexpr std::uint8_t kQueryHops = 0x7F;
+
   // Short id of the balancer that received the packet; 0: unknown.
   std::uint16_t balancer = 0;
   // Number of agents that have forwarded the packet.
--- a/src/relay/peer_messages.cpp
+++ b/src/relay/peer_messages.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t kMaxFlowsPerMessage = 256;
 constexpr std::size_t kMaxAgentsPerReport = 64;
 constexpr std::size_t kMaxBalancersPerReport = 256;
+constexpr std::size_t kMaxPacketBytes = 2048;
+constexpr std::size_t kMaxAgentsPerAnswer = 4096;
 constexpr std::size_t kMaxRoutes = 65536;
 constexpr std::size_t kMaxTargets = 65536;
 constexpr std::size_t kMaxServicesPerRoute = 64;
@@ -87,6 +89,20 @@
   aArchive(aValue.domain.value, aValue.reporter, silent, balancers);
 }
 
+template<class Archive>
+auto serialize(Archive& aArchive, FlowQuery& aValue) -> void
+{
+  auto packet = Bounded<kMaxPacketBytes>(aValue.packet);
+  aArchive(aValue.wholeDomain, packet);
+}
+
+template<class Archive>
+auto serialize(Archive& aArchive, FlowAnswer& aValue) -> void
+{
+  auto certain = Bounded<kMaxAgentsPerAnswer>(aValue.certain);
+  aArchive(aValue.flow, aValue.holder, certain);
+}
+
 template<class Archive>
 auto serialize(Archive& aArchive, WeightedService& aValue) -> void
 {
@@ -244,6 +260,18 @@
         message.body = std::move(report);
         return true;
       }
+      case 4: {
+        FlowQuery query;
+        aArchive(query);
+        message.body = std::move(query);
+        return true;
+      }
+      case 5: {
+        FlowAnswer answer;
+        aArchive(answer);
+        message.body = std::move(answer);
+        return true;
+      }
       default:
         return false;
     }
--- a/src/relay/peer_messages.h
+++ b/src/relay/peer_messages.h
@@ -82,10 +82,31 @@
   std::vector<std::uint32_t> balancers;
 };
 
+// Asks whether the receiver, or any agent of its failure domain, has the flow
+// of a packet. The packet is delivered to a backend server that may have it.
+struct FlowQuery
+{
+  bool wholeDomain = false;
+  std::string packet; // the datagram
+};
+
+struct FlowAnswer
+{
+  FlowKey flow;
+  Endpoint holder; // the agent that has the flow; invalid: none found
+  // Addresses of the agents that are certain not to have it.
+  std::vector<std::uint32_t> certain;
+};
+
 // The position of a body in the variant is its kind on the wire.
 struct PeerMessage
 {
-  std::variant<RelayHeartbeat, FlowLocation, FlowRegistration, DomainReport>
+  std::variant<RelayHeartbeat,
+               FlowLocation,
+               FlowRegistration,
+               DomainReport,
+               FlowQuery,
+               FlowAnswer>
     body;
 };
 
--- a/src/relay/search_order.cpp
+++ b/src/relay/search_order.cpp
@@ -74,7 +74,7 @@
       if (weight >= aWeight) {
         continue;
       }
-      if (!peers_.IsSilent(agent.ip)) {
+      if (!IsSilent(known)) {
         if (!step.agent || weight > highestWeight) {
           highestWeight = weight;
           step.agent = agent;
@@ -146,6 +146,15 @@
          !peers_.IsSilent(ip);
 }
 
+auto SearchOrder::IsSilent(const KnownTarget& aKnown) const -> bool
+{
+  const auto ip = aKnown.target.agent.ip;
+  // Nobody reports on a far agent after its target is gone.
+  const bool unwatched =
+    aKnown.standing == TargetStanding::Gone && peers_.IsFar(ip);
+  return unwatched || peers_.IsSilent(ip);
+}
+
 auto SearchOrder::MayHoldFlows(const KnownTarget& aKnown) const -> bool
 {
   return aKnown.standing != TargetStanding::Gone &&
--- a/src/relay/search_order.h
+++ b/src/relay/search_order.h
@@ -54,6 +54,7 @@
                           const FlowKey& aFlow,
                           std::uint64_t aWeight) const -> SearchStep;
 
+  auto IsSilent(const KnownTarget& aKnown) const -> bool;
   // True if a search that skips the target's silent agent is incomplete. False
   // for gone targets and for agents that stopped without flows.
   auto MayHoldFlows(const KnownTarget& aKnown) const -> bool;
--- a/src/relay_node/peer_traffic.cpp
+++ b/src/relay_node/peer_traffic.cpp
@@ -7,7 +7,8 @@
 auto ToText(TrafficKind aKind) -> const char*
 {
   static const std::array<const char*, kTrafficKinds> kNames = {
-    "heartbeat", "location", "registration", "report", "state", "packet"
+    "heartbeat", "location", "registration", "report",
+    "query",     "answer",   "state",        "packet"
   };
   return kNames.at(static_cast<std::size_t>(aKind));
 }
--- a/src/relay_node/peer_traffic.h
+++ b/src/relay_node/peer_traffic.h
@@ -17,11 +17,13 @@
   Location,
   Registration,
   Report,
+  Query,
+  Answer,
   State,  // requests and replies over TCP
   Packet, // callers' packets for other relays
 };
 
-constexpr std::size_t kTrafficKinds = 6;
+constexpr std::size_t kTrafficKinds = 8;
 
 auto ToText(TrafficKind aKind) -> const char*;
 auto TrafficKindOf(const PeerMessage& aMessage) -> TrafficKind;
--- a/src/relay_node/relay_metrics.cpp
+++ b/src/relay_node/relay_metrics.cpp
@@ -111,6 +111,9 @@
   count("searches_ended_total",
         "Packets whose flow no agent has",
         counters.searchEnded);
+  count("flow_queries_total",
+        "Questions of other agents for a flow",
+        counters.asked);
   count("packets_returned_total",
         "Packets that the backend server refused",
         counters.returned);
@@ -146,6 +149,21 @@
               aFindings.IsRefused() ? 1 : 0);
 }
 
+auto AddTraffic(MetricList& aList, const PeerTraffic& aTraffic) -> void
+{
+  for (std::size_t i = 0; i < kTrafficKinds; ++i) {
+    const auto kind = static_cast<TrafficKind>(i);
+    const auto& bytes = aTraffic.Sent(kind);
+    const auto name = std::string("sent_") + ToText(kind);
+    aList.Counter(name + "_near_bytes_total",
+                  "Bytes sent to relays of the own failure domain",
+                  double(bytes.near));
+    aList.Counter(name + "_far_bytes_total",
+                  "Bytes sent to relays of other failure domains",
+                  double(bytes.far));
+  }
+}
+
 } // namespace
 
 auto RelayProcess::MetricsText() const -> std::string
@@ -176,6 +194,7 @@
   list.Counter("unknown_peer_messages_total",
                "Messages of peers of an unknown kind",
                double(unknownPeerMessages_));
+  AddTraffic(list, traffic_);
   AddFindings(list, "routes", routeFindings_);
   AddFindings(list, "targets", targetFindings_);
   list.Counter("log_lines_dropped_total",
--- a/src/relay_node/relay_peers.cpp
+++ b/src/relay_node/relay_peers.cpp
@@ -13,7 +13,9 @@
 auto RelayProcess::SendToPeer(std::uint32_t aIp, const PeerMessage& aMessage)
   -> void
 {
-  peerSocket_.Queue(EncodePeerMessage(aMessage), { aIp, settings_.peers.port });
+  const auto bytes = EncodePeerMessage(aMessage);
+  traffic_.Add(TrafficKindOf(aMessage), aIp, bytes.size());
+  peerSocket_.Queue(bytes, { aIp, settings_.peers.port });
 }
 
 auto RelayProcess::OnPeerDatagram(std::span<char> aBytes, const Endpoint& aFrom)
@@ -34,7 +36,7 @@
                    std::get_if<DomainReport>(&message.body)) {
         exchange_.OnDomainReport(aFrom.ip, *report, *this);
       } else if (agent_) {
-        agent_->OnRegistration(std::get<FlowRegistration>(message.body));
+        OnAgentMessage(aFrom.ip, message);
       }
       return {};
     },
@@ -44,6 +46,24 @@
     [this] { ++malformedPeerMessages_; });
 }
 
+auto RelayProcess::OnAgentMessage(std::uint32_t aFrom, PeerMessage& aMessage)
+  -> void
+{
+  if (const auto* registration =
+        std::get_if<FlowRegistration>(&aMessage.body)) {
+    agent_->OnRegistration(*registration);
+  } else if (auto* query = std::get_if<FlowQuery>(&aMessage.body)) {
+    const auto packet = init_.codec.Decode(query->packet, PacketOrigin::Caller);
+    if (packet) {
+      agent_->OnFlowQuery(aFrom, query->wholeDomain, *packet, *this);
+    } else {
+      ++malformedPeerMessages_;
+    }
+  } else if (const auto* answer = std::get_if<FlowAnswer>(&aMessage.body)) {
+    agent_->OnFlowAnswer(*answer, *this);
+  }
+}
+
 auto RelayProcess::MakeHeartbeat() -> RelayHeartbeat
 {
   RelayHeartbeat heartbeat;
--- a/src/relay_node/relay_process.cpp
+++ b/src/relay_node/relay_process.cpp
@@ -23,6 +23,7 @@
 constexpr Millis kMinStopDelay{ 1200 };
 // After that it continues until no caller's packet arrived for this long.
 constexpr Millis kStopQuietWindow{ 300 };
+constexpr std::chrono::seconds kTrafficLogPeriod{ 10 };
 // A longer time between two ticks is logged: the VM was paused or overloaded.
 constexpr Millis kLateTickThreshold{ 400 };
 
@@ -71,6 +72,7 @@
   , nextSweep_(aInit.clock.Now())
   , lastCallerPacket_(aInit.clock.Now())
   , lastTick_(aInit.clock.Now())
+  , nextTrafficLog_(aInit.clock.Now() + kTrafficLogPeriod)
 {
   exchange_.SetSeeds(settings_.seeds);
   if (settings_.role == RelayRole::Balancer) {
@@ -236,6 +238,7 @@
   -> void
 {
   init_.codec.WriteTag(aPacket.bytes, aPacket.tag);
+  traffic_.Add(TrafficKind::Packet, aAgent.ip, aPacket.bytes.size());
   packetSocket_.Queue({ aPacket.bytes.data(), aPacket.bytes.size() }, aAgent);
 }
 
@@ -300,6 +303,10 @@
     }
   }
   exchange_.Tick(*this);
+  if (now >= nextTrafficLog_) {
+    nextTrafficLog_ = now + kTrafficLogPeriod;
+    init_.log.Write(EventLevel::Info, traffic_.Summary());
+  }
   const auto rank = ReaderRank(state_, agent_ ? settings_.packets : Endpoint{});
   if (!readingStore_ && !stopping_ && readSchedule_.IsDue(rank, state_.Age())) {
     asio::co_spawn(init_.io, ReadStore(), asio::detached);
--- a/src/relay_node/relay_process.h
+++ b/src/relay_node/relay_process.h
@@ -13,6 +13,7 @@
 #include "relay_node/finding_log.h"
 #include "relay_node/http_endpoint.h"
 #include "relay_node/interfaces.h"
+#include "relay_node/peer_traffic.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -111,6 +112,8 @@
 
   // Peers.
   auto OnPeerDatagram(std::span<char> aBytes, const Endpoint& aFrom) -> void;
+  // A message that only agents get.
+  auto OnAgentMessage(std::uint32_t aFrom, PeerMessage& aMessage) -> void;
   auto MakeHeartbeat() -> RelayHeartbeat override;
   auto PullState(std::uint32_t aIp) -> void override;
   auto OnBalancer(std::uint32_t aIp) -> void override;
@@ -130,6 +133,7 @@
   auto OnStoreError(const char* aWhat, StateSourceError aError) -> void;
   auto OnStoreReadSucceeded() -> void;
   auto OnStateChanged(const char* aCause) -> void;
+  auto UpdateFarTargets() -> void;
 
   // Process lifecycle.
   auto Tick() -> void;
@@ -176,6 +180,8 @@
   bool storeLost_ = false;
   bool stopping_ = false;
   TimePoint stopBegan_;
+  PeerTraffic traffic_;
+  TimePoint nextTrafficLog_;
   std::uint64_t malformedPackets_ = 0;
   std::uint64_t malformedPeerMessages_ = 0;
   std::uint64_t unknownPeerMessages_ = 0; // of a kind that a later release has
--- a/src/relay_node/relay_state.cpp
+++ b/src/relay_node/relay_state.cpp
@@ -39,6 +39,9 @@
 
 auto RelayProcess::ServePeer(asio::ip::tcp::socket aSocket) -> Task
 {
+  boost::system::error_code error;
+  const auto remote = aSocket.remote_endpoint(error);
+  const auto peer = error ? 0U : remote.address().to_v4().to_uint();
   beast::tcp_stream stream(std::move(aSocket));
   stream.expires_after(kPullTimeout);
   const auto bytes = co_await ReadBulk(stream);
@@ -51,6 +54,7 @@
       ++malformedPeerMessages_;
       return StateRequest{};
     }));
+  traffic_.Add(TrafficKind::State, peer, reply.size());
   co_await WriteBulk(stream, reply);
 }
 
@@ -208,6 +212,7 @@
                     .With("known_targets", state_.KnownTargets().size())
                     .Text());
   exchange_.OnStateChanged();
+  UpdateFarTargets();
   if (agent_) {
     agent_->OnStateChanged();
   }
@@ -216,4 +221,15 @@
   }
 }
 
+auto RelayProcess::UpdateFarTargets() -> void
+{
+  std::unordered_set<std::uint32_t> far;
+  for (const auto& known : state_.KnownTargets()) {
+    if (known.target.failureDomain != settings_.failureDomain) {
+      far.insert(known.target.agent.ip);
+    }
+  }
+  traffic_.SetFar(std::move(far));
+}
+
 } // namespace damaskwalk
--- a/tests/relay_flow_test.cpp
+++ b/tests/relay_flow_test.cpp
@@ -380,11 +380,13 @@
 // packet loss. A flow whose backend server still holds it is never reset and is
 // reached again once the views agree; no backend server gets another service's
 // packet.
-TEST(RelayFlow, LiveFlowsAreReachedAfterAnyFaults)
+namespace {
+
+auto LiveFlowsStayReachable(const std::vector<std::size_t>& aServices) -> void
 {
-  Holds("live flows stay reachable", [] {
+  Holds("live flows stay reachable", [&aServices] {
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
-    RelayModel model({ 6, 3 }, 3, seed);
+    RelayModel model(aServices, 3, seed);
     std::vector<std::size_t> flows;
     const auto steps = *rc::gen::inRange(5, 30);
     for (int step = 0; step < steps; ++step) {
@@ -470,4 +472,17 @@
   });
 }
 
+} // namespace
+
+TEST(RelayFlow, LiveFlowsAreReachedAfterAnyFaults)
+{
+  LiveFlowsStayReachable({ 6, 3 });
+}
+
+// More agents than a packet walks along: lost flows are asked for.
+TEST(RelayFlow, LiveFlowsOfALargeServiceAreReachedAfterAnyFaults)
+{
+  LiveFlowsStayReachable({ 20, 3 });
+}
+
 } // namespace damaskwalk
--- /dev/null
+++ b/tests/relay_lost_flow_test.cpp
@@ -0,0 +1,157 @@
+// A whole fleet loses power: servers and tables are gone, while callers still
+// use their flows. Each has to hear soon that its flow is lost, and no flow
+// that lives may be reset.
+
+#include "relay_model.h"
+#include "test_support.h"
+
+#include <algorithm>
+
+namespace damaskwalk {
+
+namespace {
+
+constexpr std::size_t kTargets = 40;
+
+auto OpenFlows(RelayModel& aModel, std::size_t aCount)
+  -> std::vector<std::size_t>
+{
+  std::vector<std::size_t> flows;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    flows.push_back(aModel.Open(0, i % aModel.Balancers()));
+  }
+  aModel.Run(Millis{ 100 });
+  return flows;
+}
+
+auto LosePower(RelayModel& aModel, std::size_t aTarget) -> void
+{
+  aModel.CrashBackend(aTarget);
+  aModel.StartBackend(aTarget);
+  aModel.RestartAgent(aTarget);
+}
+
+auto CountReset(RelayModel& aModel, const std::vector<std::size_t>& aFlows)
+  -> std::size_t
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    aFlows, [&aModel](std::size_t aFlow) { return aModel.Flow(aFlow).reset; }));
+}
+
+auto SendOnAll(RelayModel& aModel, const std::vector<std::size_t>& aFlows)
+  -> void
+{
+  for (const auto flow : aFlows) {
+    if (!aModel.Flow(flow).reset) {
+      aModel.SendRequest(flow, 0);
+    }
+  }
+}
+
+} // namespace
+
+TEST(RelayLostFlow, CallersHearAtOnceThatTheirFlowsAreLost)
+{
+  RelayModel model({ kTargets, 2 }, 2);
+  const auto flows = OpenFlows(model, 80);
+  for (std::size_t i = 0; i < model.Targets(); ++i) {
+    LosePower(model, i);
+  }
+  model.RestartBalancer(0);
+  model.Publish();
+  model.Run(Millis{ 600 });
+  SendOnAll(model, flows);
+  model.Run(Millis{ 60 });
+  EXPECT_EQ(CountReset(model, flows), flows.size());
+}
+
+// Registrations change at each process at its own time while servers come back.
+// Differing views on the way must not keep every search from a result.
+TEST(RelayLostFlow, DifferingViewsDoNotHoldUpTheVerdict)
+{
+  RelayModel model({ kTargets, 2 }, 2);
+  const auto flows = OpenFlows(model, 60);
+  for (std::size_t i = 0; i < model.Targets(); ++i) {
+    LosePower(model, i);
+  }
+  model.RestartBalancer(0);
+  model.Publish();
+  model.Run(Millis{ 600 });
+  for (std::uint64_t round = 0; round < 6; ++round) {
+    model.SetDraining(round);
+    model.PublishTo(
+      [round](std::uint32_t aIp) { return Mix(aIp, round) % 2 == 0; });
+  }
+  SendOnAll(model, flows);
+  model.Run(Millis{ 400 });
+  EXPECT_EQ(CountReset(model, flows), flows.size());
+}
+
+// One agent starts later than all others. Until it has answered, its server may
+// have any of the flows; then the verdict follows without another packet of the
+// caller.
+TEST(RelayLostFlow, TheVerdictWaitsForTheLastAgentOnly)
+{
+  RelayModel model({ kTargets, 2 }, 2);
+  const auto flows = OpenFlows(model, 60);
+  for (std::size_t i = 0; i < model.Targets(); ++i) {
+    LosePower(model, i);
+  }
+  model.StopAgent(7);
+  model.RestartBalancer(0);
+  model.Publish();
+  model.Run(Millis{ 600 });
+  SendOnAll(model, flows);
+  model.Run(Millis{ 900 });
+  EXPECT_EQ(CountReset(model, flows), 0U);
+  model.RestartAgent(7);
+  model.Publish();
+  model.Run(Millis{ 1600 });
+  EXPECT_GE(CountReset(model, flows), flows.size() * 9 / 10);
+}
+
+// Only agents lose their tables. Every flow lives on and is found.
+TEST(RelayLostFlow, LiveFlowsAreFoundAndNotReset)
+{
+  RelayModel model({ kTargets, 2 }, 2);
+  const auto flows = OpenFlows(model, 80);
+  for (std::size_t i = 0; i < model.Targets(); ++i) {
+    if (i % 2 == 0) {
+      LosePower(model, i);
+    } else {
+      model.RestartAgent(i);
+    }
+  }
+  model.RestartBalancer(0);
+  model.Publish();
+  model.Run(Millis{ 600 });
+  for (int i = 0; i < 3; ++i) {
+    SendOnAll(model, flows);
+    model.Run(Millis{ 200 });
+  }
+  for (const auto flow : flows) {
+    EXPECT_EQ(model.IsHeld(model.Flow(flow)), !model.Flow(flow).reset);
+    EXPECT_EQ(model.IsHeld(model.Flow(flow)), model.Flow(flow).answers > 0);
+  }
+}
+
+// Queries get lost like other datagrams; they are repeated.
+TEST(RelayLostFlow, LossDelaysTheVerdictOnly)
+{
+  RelayModel model({ kTargets, 2 }, 2);
+  const auto flows = OpenFlows(model, 40);
+  for (std::size_t i = 0; i < model.Targets(); ++i) {
+    LosePower(model, i);
+  }
+  model.RestartBalancer(0);
+  model.Publish();
+  model.Run(Millis{ 600 });
+  model.SetLoss(0.1);
+  for (int i = 0; i < 4; ++i) {
+    SendOnAll(model, flows);
+    model.Run(Millis{ 400 });
+  }
+  EXPECT_GE(CountReset(model, flows), flows.size() * 8 / 10);
+}
+
+} // namespace damaskwalk
--- a/tests/relay_model.cpp
+++ b/tests/relay_model.cpp
@@ -353,6 +353,12 @@
         } else if (const auto* location =
                      std::get_if<FlowLocation>(&message.body)) {
           aNode.balancer->OnFlowLocation(*location);
+        } else if (auto* query = std::get_if<FlowQuery>(&message.body)) {
+          auto packet = codec_->Decode(query->packet, PacketOrigin::Caller);
+          aNode.agent->OnFlowQuery(
+            aFrom, query->wholeDomain, *packet, aNode.port);
+        } else if (auto* found = std::get_if<FlowAnswer>(&message.body)) {
+          aNode.agent->OnFlowAnswer(*found, aNode.port);
         } else {
           aNode.agent->OnRegistration(std::get<FlowRegistration>(message.body));
         }
