Watch agents whose target is gone, and name those that a query misses

The mesh goes by the agents with a registered target now, and gone targets stay watched. A query that is given up says which agents had not answered, after it has looked once more.

--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -221,6 +221,7 @@
   auto ResolveQuestions(const FlowKey& aFlow, bool aHolds, RelayPort& aPort)
     -> void;
   auto ResetLostFlows(RelayPort& aPort) -> void;
+  auto LogUndecidedFlows() -> void;
   // Forwards a later packet of a flow that is not in this agent's table.
   auto Search(Packet& aPacket, RelayPort& aPort) -> void;
   // True if entries were kept for the whole idle timeout, so that every live
--- a/src/relay/agent_relay_opening.cpp
+++ b/src/relay/agent_relay_opening.cpp
@@ -298,6 +298,7 @@
   RetrySearches(aPort);
   queries_.Tick(aPort);
   ResetLostFlows(aPort);
+  LogUndecidedFlows();
   std::erase_if(questions_, [this](const auto& aEntry) {
     return clock_.Now() - aEntry.second.since > kDomainAnswerTimeout;
   });
--- a/src/relay/agent_relay_search.cpp
+++ b/src/relay/agent_relay_search.cpp
@@ -3,6 +3,8 @@
 #include "relay/agent_relay.h"
 #include "relay/limits.h"
 
+#include <algorithm>
+
 namespace damaskwalk {
 
 auto AgentRelay::Search(Packet& aPacket, RelayPort& aPort) -> void
@@ -172,6 +174,31 @@
   }
 }
 
+auto AgentRelay::LogUndecidedFlows() -> void
+{
+  constexpr std::size_t kMaxNamedAgents = 3;
+  for (const auto& undecided : queries_.TakeUndecided()) {
+    ++counters_.searchEnded;
+    std::string names;
+    const auto count = std::min(undecided.missing.size(), kMaxNamedAgents);
+    for (std::size_t i = 0; i < count; ++i) {
+      const auto* known = state_.FindAgent(undecided.missing[i]);
+      names += (i == 0 ? "" : ",") + ToText(undecided.missing[i]) + "/" +
+               (known ? ToText(known->standing) : "unknown");
+    }
+    log_.Write(EventLevel::Warning,
+               Event("flow_not_found")
+                 .With("flow", ToText(undecided.flow))
+                 .With("outcome", "dropped")
+                 .With("every_agent_asked", false)
+                 .With("missing", undecided.missing.size())
+                 .With("silent_agents", names)
+                 .With("targets", state_.Targets().revision)
+                 .With("age_ms", state_.Digest().age.count())
+                 .Text());
+  }
+}
+
 auto AgentRelay::HasCompleteFlowTable() const -> bool
 {
   return clock_.Now() - trackingSince_ >= state_.IdleTimeout();
--- a/src/relay/flow_queries.cpp
+++ b/src/relay/flow_queries.cpp
@@ -121,8 +121,8 @@
 auto FlowQueries::Ask(Query& aQuery, const RelayRoute& aRoute, RelayPort& aPort)
   -> void
 {
-  aQuery.nextRound =
-    clock_.Now() + kFlowQueryRound * (std::int64_t{ 1 } << aQuery.rounds);
+  const auto delay = kFlowQueryRound * (std::int64_t{ 1 } << aQuery.rounds);
+  aQuery.nextRound = clock_.Now() + std::min(delay, kMaxFlowQueryRound);
   ++aQuery.rounds;
   std::map<std::string, std::vector<std::uint32_t>> byDomain;
   for (const auto* known : Missing(aQuery, aRoute)) {
@@ -204,6 +204,24 @@
   return std::exchange(lost_, {});
 }
 
+auto FlowQueries::TakeUndecided() -> std::vector<Undecided>
+{
+  return std::exchange(undecided_, {});
+}
+
+auto FlowQueries::GiveUp(const FlowKey& aFlow, const Query& aQuery) -> void
+{
+  const auto* route = state_.FindRoute(aFlow.address);
+  if (!route) {
+    return;
+  }
+  Undecided undecided{ aFlow, {} };
+  for (const auto* known : Missing(aQuery, *route)) {
+    undecided.missing.push_back(known->target.agent);
+  }
+  undecided_.push_back(std::move(undecided));
+}
+
 auto FlowQueries::Tick(RelayPort& aPort) -> void
 {
   const auto now = clock_.Now();
@@ -219,10 +237,17 @@
     auto& query = entry->second;
     const auto next = std::next(entry);
     const auto* route = state_.FindRoute(entry->first.address);
-    if (!route || now - query.began >= kFlowQueryLifetime) {
+    const bool expired = now - query.began >= kFlowQueryLifetime;
+    const bool due = expired || now >= query.nextRound;
+    if (!route) {
       own_.erase(entry);
-    } else if (now >= query.nextRound && !Conclude(entry)) {
-      Ask(query, *route, aPort);
+    } else if (due && !Conclude(entry)) {
+      if (expired) {
+        GiveUp(entry->first, query);
+        own_.erase(entry);
+      } else {
+        Ask(query, *route, aPort);
+      }
     }
     entry = next;
   }
--- a/src/relay/flow_queries.h
+++ b/src/relay/flow_queries.h
@@ -46,6 +46,13 @@
   // The packet of each flow that no agent has. Every agent that may have it has
   // answered.
   auto TakeLost() -> std::vector<std::unique_ptr<OwnedPacket>>;
+  // Flows that were given up, with the agents that had not answered.
+  struct Undecided
+  {
+    FlowKey flow;
+    std::vector<Endpoint> missing;
+  };
+  auto TakeUndecided() -> std::vector<Undecided>;
   // Asks again those that have not answered, and answers for the domain. To be
   // called every few tens of milliseconds.
   auto Tick(RelayPort& aPort) -> void;
@@ -73,6 +80,7 @@
                 bool aWholeDomain,
                 const Query& aQuery,
                 RelayPort& aPort) const -> void;
+  auto GiveUp(const FlowKey& aFlow, const Query& aQuery) -> void;
   // Moves the query to the lost flows if nobody is missing.
   auto Conclude(Table::iterator aQuery) -> bool;
   auto AnswerForDomain(const FlowKey& aFlow,
@@ -89,6 +97,7 @@
   Table own_;
   Table domain_; // asked for other domains' agents
   std::vector<std::unique_ptr<OwnedPacket>> lost_;
+  std::vector<Undecided> undecided_;
 };
 
 } // namespace damaskwalk
--- a/src/relay/heartbeat_plan.cpp
+++ b/src/relay/heartbeat_plan.cpp
@@ -16,6 +16,19 @@
   return Mix(aTo, kRingKey) - Mix(aFrom, kRingKey);
 }
 
+// Agents with a registered target. After an outage a target may be registered
+// anew while its former registration lasts.
+auto CountAgents(const FleetState& aState) -> std::size_t
+{
+  std::unordered_set<std::uint32_t> agents;
+  for (const auto& known : aState.KnownTargets()) {
+    if (known.standing != TargetStanding::Gone) {
+      agents.insert(known.target.agent.ip);
+    }
+  }
+  return agents.size();
+}
+
 } // namespace
 
 HeartbeatPlan::HeartbeatPlan(const HeartbeatPlanInit& aInit)
@@ -30,7 +43,8 @@
   padding_.clear();
   far_.clear();
   farDomains_.clear();
-  fullMesh_ = aState.KnownTargets().size() <= kFullMeshTargets;
+  agents_ = CountAgents(aState);
+  fullMesh_ = agents_ <= kFullMeshTargets;
   if (fullMesh_) {
     UpdateFullMesh(aState);
   } else {
@@ -55,13 +69,15 @@
   for (const auto& known : aState.KnownTargets()) {
     const auto& target = known.target;
     const auto ip = target.agent.ip;
-    if (ip == init_.self || known.standing == TargetStanding::Gone) {
+    if (ip == init_.self) {
       continue;
     }
     if (target.failureDomain == init_.failureDomain) {
       near_.push_back(ip);
-    } else {
-      far_.insert(ip);
+      continue;
+    }
+    far_.insert(ip);
+    if (known.standing != TargetStanding::Gone) {
       farDomains_[DomainIdOf(target.failureDomain)].push_back(ip);
     }
   }
--- a/src/relay/heartbeat_plan.h
+++ b/src/relay/heartbeat_plan.h
@@ -35,13 +35,16 @@
   // To be called when targets changed.
   auto Update(const FleetState& aState) -> void;
 
-  // Near agents, which send periodic heartbeats to this process.
+  // Near agents, which send periodic heartbeats to this process. Those whose
+  // target is gone are among them.
   auto Near() const -> const std::vector<std::uint32_t>& { return near_; }
   // Agents of other domains that stand in for missing near ones. They do not
   // know of it and have to be asked for each heartbeat.
   auto Padding() const -> const std::vector<std::uint32_t>& { return padding_; }
   // All other agents; empty in a full mesh.
   auto Far() const -> const std::unordered_set<std::uint32_t>& { return far_; }
+  // Agents of the fleet whose target is registered.
+  auto Agents() const -> std::size_t { return agents_; }
   auto IsFullMesh() const -> bool { return fullMesh_; }
   // Far agents by their failure domain.
   auto FarDomains() const
@@ -68,6 +71,7 @@
   HeartbeatPlanInit init_;
   std::mt19937_64 random_;
   bool fullMesh_ = true;
+  std::size_t agents_ = 0;
   std::vector<std::uint32_t> near_;
   std::vector<std::uint32_t> padding_;
   std::unordered_set<std::uint32_t> far_;
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -147,6 +147,7 @@
 // twice and four times as long and so on. Processes that lost power together
 // start within a second.
 constexpr Millis kFlowQueryRound{ 100 };
+constexpr Millis kMaxFlowQueryRound{ 400 };
 constexpr Millis kFlowQueryLifetime{ 3000 };
 // A domain answers for itself after this time at the latest, within which a
 // backend server returns a packet.
