Send changed targets instead of the whole set

The replying process now keeps which targets changed (TargetLog: ids of the last 64 changes) and sends those since the set that the requester has, by its hash. The requester checks the result's hash and asks for the whole set if it does not fit. Requests of earlier releases, which do not say that they take deltas, get whole sets; both sides read each other's messages.

--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -78,6 +78,11 @@
 constexpr Millis kNextPullDelay{ 100 };
 constexpr std::size_t kMaxConcurrentPulls = 4;
 
+// Changes of the targets that a process can pass on one by one: those of the
+// last minutes.
+constexpr std::size_t kMaxTargetLogSteps = 64;
+constexpr std::size_t kMaxTargetLogIds = 4096;
+
 // Flow tables. A balancer entry costs about 40 bytes, an agent's about 100.
 constexpr std::size_t kMaxBalancerFlows = 1U << 18;
 constexpr std::size_t kMaxAgentFlows = 1U << 16;
--- a/src/relay/peer_messages.cpp
+++ b/src/relay/peer_messages.cpp
@@ -151,6 +151,36 @@
   aArchive(aValue.revision, targets);
 }
 
+// A text as an entry of a list.
+struct NameEntry
+{
+  std::string name;
+};
+
+template<class Archive>
+auto serialize(Archive& aArchive, NameEntry& aValue) -> void
+{
+  auto name = Bounded<kMaxNameBytes>(aValue.name);
+  aArchive(name);
+}
+
+template<class Archive>
+auto serialize(Archive& aArchive, TargetDelta& aValue) -> void
+{
+  auto changed = Bounded<kMaxTargets>(aValue.changed);
+  aArchive(aValue.fromHash, aValue.toHash, aValue.revision, changed);
+  std::vector<NameEntry> names;
+  for (auto& id : aValue.removed) {
+    names.push_back({ std::move(id) });
+  }
+  auto removed = Bounded<kMaxTargets>(names);
+  aArchive(removed);
+  aValue.removed.clear();
+  for (auto& entry : names) {
+    aValue.removed.push_back(std::move(entry.name));
+  }
+}
+
 template<class Archive>
 auto serialize(Archive& aArchive, StateRequest& aValue) -> void
 {
@@ -201,6 +231,35 @@
   return {};
 }
 
+// Decodes a message and, if bytes follow, the fields that a later release
+// appended to it. Fields that are cut count as absent.
+template<class Body, class Appended>
+auto DecodeAppended(std::string_view aBytes, Body aBody, Appended aAppended)
+  -> leaf::result<void>
+{
+  bool hasBody = false;
+  MemoryBuffer buffer(aBytes.data(), aBytes.size());
+  std::istream stream(&buffer);
+  try {
+    InArchive archive(stream);
+    std::uint8_t layout = 0;
+    archive(layout);
+    if (layout != kLayoutVersion) {
+      return leaf::new_error(WireError::UnknownVersion);
+    }
+    aBody(archive);
+    hasBody = true;
+    if (buffer.Remaining() > 0) {
+      aAppended(archive);
+    }
+  } catch (const std::exception&) {
+    if (!hasBody) {
+      return leaf::new_error(WireError::Truncated);
+    }
+  }
+  return {};
+}
+
 // Replaces kinds and states of a later release by the most careful known ones.
 auto ReplaceUnknownWords(StateReply& aReply) -> void
 {
@@ -211,12 +270,18 @@
       }
     }
   }
-  for (auto& set : aReply.targets) {
-    for (auto& target : set.targets) {
+  const auto replaceStates = [](std::vector<RelayTarget>& aTargets) {
+    for (auto& target : aTargets) {
       if (target.state > TargetState::Draining) {
         target.state = TargetState::Draining;
       }
     }
+  };
+  for (auto& set : aReply.targets) {
+    replaceStates(set.targets);
+  }
+  for (auto& delta : aReply.deltas) {
+    replaceStates(delta.changed);
   }
 }
 
@@ -281,32 +346,41 @@
 
 auto EncodeStateRequest(const StateRequest& aRequest) -> std::string
 {
-  return Encode(aRequest);
+  return aRequest.acceptsDeltas ? Encode(aRequest, aRequest.acceptsDeltas)
+                                : Encode(aRequest);
 }
 
 auto DecodeStateRequest(std::string_view aBytes) -> leaf::result<StateRequest>
 {
   StateRequest request;
-  BOOST_LEAF_CHECK(Decode(aBytes, [&request](InArchive& aArchive) {
-    aArchive(request);
-    return true;
-  }));
+  BOOST_LEAF_CHECK(DecodeAppended(
+    aBytes,
+    [&request](InArchive& aArchive) { aArchive(request); },
+    [&request](InArchive& aArchive) { aArchive(request.acceptsDeltas); }));
   return request;
 }
 
 auto EncodeStateReply(const StateReply& aReply) -> std::string
 {
-  return Encode(aReply);
+  // Earlier releases, which ask for no deltas, refuse bytes at the end.
+  if (aReply.deltas.empty()) {
+    return Encode(aReply);
+  }
+  auto reply = aReply;
+  return Encode(reply, Bounded<1>(reply.deltas));
 }
 
 auto DecodeStateReply(std::string_view aBytes) -> leaf::result<StateReply>
 {
   StateReply reply;
-  BOOST_LEAF_CHECK(Decode(aBytes, [&reply](InArchive& aArchive) {
-    aArchive(reply);
-    ReplaceUnknownWords(reply);
-    return true;
-  }));
+  BOOST_LEAF_CHECK(DecodeAppended(
+    aBytes,
+    [&reply](InArchive& aArchive) { aArchive(reply); },
+    [&reply](InArchive& aArchive) {
+      auto deltas = Bounded<1>(reply.deltas);
+      aArchive(deltas);
+    }));
+  ReplaceUnknownWords(reply);
   return reply;
 }
 
--- a/src/relay/peer_messages.h
+++ b/src/relay/peer_messages.h
@@ -6,6 +6,7 @@
 // knows, and reports WireError::UnknownKind for a kind that it does not know.
 
 #include "relay/fleet_state.h"
+#include "relay/target_log.h"
 #include "wire/frame.h"
 
 #include <boost/leaf/result.hpp>
@@ -114,6 +115,7 @@
 struct StateRequest
 {
   StateDigest have;
+  bool acceptsDeltas = false; // appended; absent in earlier releases
 };
 
 struct StateReply
@@ -122,6 +124,8 @@
   // One entry if newer than the requester's, else none.
   std::vector<RouteTable> routes;
   std::vector<TargetSet> targets;
+  // One entry in place of the targets, for requesters that accept deltas.
+  std::vector<TargetDelta> deltas;
 };
 
 auto EncodePeerMessage(const PeerMessage& aMessage) -> std::string;
--- a/src/relay_node/relay_process.h
+++ b/src/relay_node/relay_process.h
@@ -8,6 +8,7 @@
 #include "relay/peer_exchange.h"
 #include "relay/pull_schedule.h"
 #include "relay/read_schedule.h"
+#include "relay/state_transfer.h"
 #include "relay_node/bounded_log.h"
 #include "relay_node/datagram_socket.h"
 #include "relay_node/finding_log.h"
@@ -124,7 +125,6 @@
   // State.
   auto ServePeers() -> Task;
   auto ServePeer(boost::asio::ip::tcp::socket aSocket) -> Task;
-  auto MakeStateReply(const StateRequest& aRequest) -> std::string;
   auto PullFrom(std::uint32_t aIp) -> Task;
   auto StartPull(std::uint32_t aIp) -> void;
   auto ReadStore() -> Task;
@@ -153,6 +153,7 @@
   PeerExchange exchange_;
   ReadSchedule readSchedule_;
   PullSchedule pullSchedule_;
+  StateTransfer transfer_;
   FindingLog routeFindings_;
   FindingLog targetFindings_;
   std::unique_ptr<FirstPacketPlacement> placement_;
--- a/src/relay_node/relay_state.cpp
+++ b/src/relay_node/relay_state.cpp
@@ -48,32 +48,17 @@
   if (!bytes) {
     co_return;
   }
-  const auto reply = MakeStateReply(leaf::try_handle_all(
+  const auto request = leaf::try_handle_all(
     [&]() -> leaf::result<StateRequest> { return DecodeStateRequest(*bytes); },
     [this] {
       ++malformedPeerMessages_;
       return StateRequest{};
-    }));
+    });
+  const auto reply = EncodeStateReply(transfer_.MakeReply(request));
   traffic_.Add(TrafficKind::State, peer, reply.size());
   co_await WriteBulk(stream, reply);
 }
 
-auto RelayProcess::MakeStateReply(const StateRequest& aRequest) -> std::string
-{
-  StateReply reply;
-  reply.digest = state_.Digest();
-  if (state_.HasState()) {
-    if (reply.digest.routes > aRequest.have.routes) {
-      reply.routes.push_back(state_.Routes());
-    }
-    if (reply.digest.targets > aRequest.have.targets &&
-        reply.digest.targetsHash != aRequest.have.targetsHash) {
-      reply.targets.push_back(state_.Targets());
-    }
-  }
-  return EncodeStateReply(reply);
-}
-
 auto RelayProcess::StartPull(std::uint32_t aIp) -> void
 {
   if (aIp == settings_.peers.ip || !pullSchedule_.Begin(aIp)) {
@@ -84,11 +69,10 @@
 
 auto RelayProcess::PullFrom(std::uint32_t aIp) -> Task
 {
-  const auto digestBefore = state_.Digest();
   const auto began = init_.clock.Now();
-  const auto answer = co_await CallBulk({ aIp, settings_.peers.port },
-                                        EncodeStateRequest({ digestBefore }),
-                                        kPullTimeout);
+  auto request = EncodeStateRequest(transfer_.MakeRequest());
+  const auto answer = co_await CallBulk(
+    { aIp, settings_.peers.port }, std::move(request), kPullTimeout);
   pullSchedule_.End(aIp);
   if (answer.status != CallStatus::Replied) {
     co_return;
@@ -99,13 +83,7 @@
     [&]() -> leaf::result<void> {
       BOOST_LEAF_AUTO(reply, DecodeStateReply(answer.bytes));
       const bool starting = !state_.HasState();
-      bool changed = false;
-      for (auto& table : reply.routes) {
-        changed |= state_.UpdateRoutes(std::move(table));
-      }
-      for (const auto& set : reply.targets) {
-        changed |= state_.UpdateTargets(set, reply.digest.age + took);
-      }
+      const bool changed = transfer_.Apply(std::move(reply), took);
       if (changed) {
         OnStateChanged("peer");
         exchange_.OnStatePulled(aIp, *this);
@@ -212,6 +190,7 @@
                     .With("known_targets", state_.KnownTargets().size())
                     .Text());
   exchange_.OnStateChanged();
+  transfer_.OnTargetsChanged();
   UpdateFarTargets();
   if (agent_) {
     agent_->OnStateChanged();
--- /dev/null
+++ b/tests/state_transfer_test.cpp
@@ -0,0 +1,199 @@
+// State between relays: targets travel as changes. Whatever is lost, repeated,
+// reordered or wrong, a process ends with the same targets as the store.
+
+#include "relay/state_transfer.h"
+#include "test_support.h"
+
+#include <algorithm>
+
+namespace damaskwalk {
+
+namespace {
+
+auto TargetNumber(std::size_t aNumber, std::uint32_t aSlots) -> RelayTarget
+{
+  RelayTarget target;
+  target.id = "t" + std::to_string(aNumber);
+  target.service = ServiceIdOf("s");
+  target.agent = { 0x0A000000 + static_cast<std::uint32_t>(aNumber), 80 };
+  target.failureDomain = "d";
+  target.slots = aSlots;
+  return target;
+}
+
+auto SetOf(std::uint64_t aRevision, std::size_t aCount) -> TargetSet
+{
+  TargetSet set;
+  set.revision = aRevision;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    set.targets.push_back(TargetNumber(i, 4));
+  }
+  return set;
+}
+
+struct Process
+{
+  explicit Process(const Clock& aClock)
+    : state(aClock)
+    , transfer(state)
+  {
+    state.UpdateRoutes({ 1, Millis{ 0 }, {} });
+  }
+
+  auto Take(const TargetSet& aSet) -> void
+  {
+    if (state.UpdateTargets(aSet, Millis{ 0 })) {
+      transfer.OnTargetsChanged();
+    }
+  }
+  // The reply of a peer, encoded and decoded.
+  auto ReplyTo(Process& aRequester) -> StateReply
+  {
+    const auto bytes = EncodeStateRequest(aRequester.transfer.MakeRequest());
+    return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<StateReply> {
+        BOOST_LEAF_AUTO(request, DecodeStateRequest(bytes));
+        return DecodeStateReply(EncodeStateReply(transfer.MakeReply(request)));
+      },
+      [] {
+        ADD_FAILURE() << "message refused";
+        return StateReply{};
+      });
+  }
+  auto Apply(const StateReply& aReply) -> void
+  {
+    if (transfer.Apply(aReply, Millis{ 0 })) {
+      transfer.OnTargetsChanged();
+    }
+  }
+
+  FleetState state;
+  StateTransfer transfer;
+};
+
+} // namespace
+
+TEST(StateTransfer, ChangesTravelAsADelta)
+{
+  ManualClock clock;
+  Process reader(clock);
+  Process other(clock);
+  auto set = SetOf(1, 200);
+  reader.Take(set);
+  const auto whole = reader.ReplyTo(other);
+  EXPECT_EQ(whole.targets.size(), 1U);
+  other.Apply(whole);
+  set.revision = 2;
+  set.targets[7].slots = 5;
+  set.targets.erase(set.targets.begin() + 9);
+  set.targets.push_back(TargetNumber(300, 2));
+  reader.Take(set);
+  const auto delta = reader.ReplyTo(other);
+  EXPECT_TRUE(delta.targets.empty());
+  ASSERT_EQ(delta.deltas.size(), 1U);
+  EXPECT_EQ(delta.deltas.front().changed.size(), 2U);
+  EXPECT_EQ(delta.deltas.front().removed, std::vector<std::string>{ "t9" });
+  EXPECT_LT(EncodeStateReply(delta).size(), 400U);
+  other.Apply(delta);
+  EXPECT_EQ(other.state.Targets().Hash(), set.Hash());
+  EXPECT_EQ(other.state.Digest().targets, 2U);
+}
+
+// A process of an earlier release asks without deltas and gets the whole set.
+TEST(StateTransfer, EarlierReleasesGetTheWholeSet)
+{
+  ManualClock clock;
+  Process reader(clock);
+  reader.Take(SetOf(1, 5));
+  const auto known = reader.state.Digest();
+  reader.Take(SetOf(2, 6));
+  const auto reply = reader.transfer.MakeReply({ known, false });
+  EXPECT_EQ(reply.targets.size(), 1U);
+  EXPECT_TRUE(reply.deltas.empty());
+}
+
+// A delta that starts from another set, or claims another result, changes
+// nothing; the whole set is asked for.
+TEST(StateTransfer, AFalseDeltaLeadsToTheWholeSet)
+{
+  ManualClock clock;
+  Process reader(clock);
+  Process other(clock);
+  reader.Take(SetOf(1, 20));
+  other.Apply(reader.ReplyTo(other));
+  reader.Take(SetOf(2, 21));
+  auto reply = reader.ReplyTo(other);
+  ASSERT_EQ(reply.deltas.size(), 1U);
+  reply.deltas.front().changed.front().slots = 9;
+  other.Apply(reply);
+  EXPECT_EQ(other.state.Targets().targets.size(), 20U);
+  EXPECT_EQ(other.transfer.Counts().deltasRefused, 1U);
+  const auto whole = reader.ReplyTo(other);
+  EXPECT_EQ(whole.targets.size(), 1U);
+  other.Apply(whole);
+  EXPECT_EQ(other.state.Targets().Hash(), reader.state.Targets().Hash());
+}
+
+TEST(StateTransfer, AnyOrderOfRepliesEndsWithTheStoresTargets)
+{
+  Holds("deltas lost, repeated, reordered, and restarts", [] {
+    ManualClock clock;
+    std::mt19937_64 random(*rc::gen::arbitrary<std::uint64_t>());
+    std::vector<std::unique_ptr<Process>> processes;
+    for (int i = 0; i < 4; ++i) {
+      processes.push_back(std::make_unique<Process>(clock));
+    }
+    auto set = SetOf(1, 12);
+    std::vector<std::pair<std::size_t, StateReply>> delayed;
+    for (int step = 0; step < 120; ++step) {
+      const auto reader = random() % 4;
+      const auto other = random() % 4;
+      switch (random() % 6) {
+        case 0:
+          ++set.revision;
+          if (!set.targets.empty() && random() % 2 == 0) {
+            set.targets.erase(set.targets.begin() +
+                              std::ptrdiff_t(random() % set.targets.size()));
+          } else {
+            set.targets.push_back(TargetNumber(20 + std::size_t(step),
+                                               std::uint32_t(random() % 3)));
+          }
+          break;
+        case 1:
+          processes[reader]->Take(set);
+          break;
+        case 2:
+          delayed.emplace_back(other,
+                               processes[reader]->ReplyTo(*processes[other]));
+          break;
+        case 3:
+          if (!delayed.empty()) {
+            const auto& [to, reply] = delayed[random() % delayed.size()];
+            processes[to]->Apply(reply);
+          }
+          break;
+        case 4:
+          if (random() % 5 == 0) {
+            processes[other] = std::make_unique<Process>(clock);
+          }
+          break;
+        default:
+          processes[other]->Apply(
+            processes[reader]->ReplyTo(*processes[other]));
+          break;
+      }
+    }
+    ++set.revision;
+    processes[0]->Take(set);
+    for (int round = 0; round < 2; ++round) {
+      for (int i = 1; i < 4; ++i) {
+        processes[i]->Apply(processes[0]->ReplyTo(*processes[i]));
+      }
+    }
+    for (const auto& process : processes) {
+      RC_ASSERT(process->state.Targets().Hash() == set.Hash());
+    }
+  });
+}
+
+} // namespace damaskwalk
