Ask the seeds for the state before the store; count store calls by cause

Calls are counted and logged by cause: start, periodic, takeover, retry.

Test: ReadSchedule.AStartingProcessAsksItsSeedsFirst.

--- a/src/relay/read_schedule.cpp
+++ b/src/relay/read_schedule.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::uint64_t kReaderKey = 21;
+constexpr std::uint64_t kStartKey = 27;
 
 auto ReaderWeight(const Endpoint& aAgent) -> std::uint64_t
 {
@@ -33,8 +34,38 @@
   return static_cast<std::uint32_t>(ahead);
 }
 
-ReadSchedule::ReadSchedule(const Clock& aClock)
+auto StartReadDelay(const StartInit& aInit) -> Millis
+{
+  const bool isSeed =
+    std::ranges::find(aInit.seeds, aInit.self) != aInit.seeds.end();
+  if (isSeed || aInit.seeds.empty()) {
+    return Millis{ 0 };
+  }
+  const auto delay =
+    aInit.firstStart ? kFirstStartReadDelay : kRestartReadDelay;
+  // Spreads the reads of those whose seeds do not answer.
+  const auto spread =
+    Mix(aInit.self, kStartKey) % static_cast<std::uint64_t>(delay.count());
+  return delay + Millis{ static_cast<std::int64_t>(spread) };
+}
+
+auto ToText(ReadCause aCause) -> const char*
+{
+  switch (aCause) {
+    case ReadCause::Start:
+      return "start";
+    case ReadCause::Periodic:
+      return "periodic";
+    case ReadCause::Takeover:
+      return "takeover";
+    default:
+      return "retry";
+  }
+}
+
+ReadSchedule::ReadSchedule(const Clock& aClock, Millis aStartDelay)
   : clock_(aClock)
+  , startReadAt_(aClock.Now() + aStartDelay)
   , nextAllowed_(aClock.Now())
 {
 }
@@ -46,7 +77,7 @@
     return false;
   }
   if (!aAge) {
-    return true;
+    return clock_.Now() >= startReadAt_;
   }
   const auto steps = std::min(aRank, kMaxStoreTakeoverRank);
   const auto threshold =
@@ -55,8 +86,21 @@
   return *aAge >= threshold;
 }
 
+auto ReadSchedule::CauseOf(std::uint32_t aRank,
+                           std::optional<Millis> aAge) const -> ReadCause
+{
+  if (failed_) {
+    return ReadCause::Retry;
+  }
+  if (!aAge) {
+    return ReadCause::Start;
+  }
+  return aRank == 0 ? ReadCause::Periodic : ReadCause::Takeover;
+}
+
 auto ReadSchedule::OnReadFinished(bool aSucceeded) -> void
 {
+  failed_ = !aSucceeded;
   reads_ += aSucceeded ? 1 : 0;
   nextAllowed_ = clock_.Now() + (aSucceeded ? Millis{ 0 } : kStoreRetryDelay);
 }
--- a/src/relay/read_schedule.h
+++ b/src/relay/read_schedule.h
@@ -13,21 +13,52 @@
 auto ReaderRank(const FleetState& aState, const Endpoint& aSelf)
   -> std::uint32_t;
 
+struct StartInit
+{
+  std::uint32_t self = 0; // address of this VM
+  // VMs that other starting processes ask for the state.
+  std::vector<std::uint32_t> seeds;
+  // The whole fleet starts for the first time, ahead of its callers.
+  bool firstStart = false;
+};
+
+// Time that a starting process waits for its peers' state before it reads the
+// store itself. A seed does not wait: the others ask it.
+auto StartReadDelay(const StartInit& aInit) -> Millis;
+
+enum class ReadCause : std::uint8_t
+{
+  Start,    // no state yet
+  Periodic, // first in the order of readers
+  Takeover, // the readers before it are late
+  Retry,    // the last read failed
+};
+
+constexpr std::size_t kReadCauses = 4;
+
+auto ToText(ReadCause aCause) -> const char*;
+
 // Single threaded.
 class ReadSchedule
 {
 public:
-  explicit ReadSchedule(const Clock& aClock);
+  // @param aStartDelay see StartReadDelay.
+  ReadSchedule(const Clock& aClock, Millis aStartDelay);
 
   // @param aAge time since the state was last confirmed; nothing: no state yet.
   auto IsDue(std::uint32_t aRank, std::optional<Millis> aAge) const -> bool;
+  // Why a read that is due is made.
+  auto CauseOf(std::uint32_t aRank, std::optional<Millis> aAge) const
+    -> ReadCause;
   auto OnReadFinished(bool aSucceeded) -> void;
   // Routes are read with the first and then every second read.
   auto WantsRoutes() const -> bool;
 
 private:
   const Clock& clock_;
+  TimePoint startReadAt_;
   TimePoint nextAllowed_;
+  bool failed_ = false; // the last read
   std::uint32_t reads_ = 0;
 };
 
--- a/src/relay_node/relay_metrics.cpp
+++ b/src/relay_node/relay_metrics.cpp
@@ -194,6 +194,12 @@
   list.Counter("unknown_peer_messages_total",
                "Messages of peers of an unknown kind",
                double(unknownPeerMessages_));
+  for (std::size_t i = 0; i < kReadCauses; ++i) {
+    const auto* cause = ToText(static_cast<ReadCause>(i));
+    list.Counter(std::string("store_calls_") + cause + "_total",
+                 "Calls to the store of reads with this cause",
+                 double(storeCalls_.at(i)));
+  }
   AddTraffic(list, traffic_);
   AddFindings(list, "routes", routeFindings_);
   AddFindings(list, "targets", targetFindings_);
--- a/src/relay_node/relay_process.cpp
+++ b/src/relay_node/relay_process.cpp
@@ -55,7 +55,10 @@
               peers_,
               aInit.clock,
               *this)
-  , readSchedule_(aInit.clock)
+  , readSchedule_(aInit.clock,
+                  StartReadDelay({ aInit.settings.peers.ip,
+                                   aInit.settings.seeds,
+                                   aInit.settings.firstStart }))
   , pullSchedule_(aInit.clock)
   , transfer_(state_)
   , routeFindings_("routes", aInit.log)
@@ -306,11 +309,12 @@
   exchange_.Tick(*this);
   if (now >= nextTrafficLog_) {
     nextTrafficLog_ = now + kTrafficLogPeriod;
-    init_.log.Write(EventLevel::Info, traffic_.Summary());
+    LogTotals();
   }
   const auto rank = ReaderRank(state_, agent_ ? settings_.packets : Endpoint{});
   if (!readingStore_ && !stopping_ && readSchedule_.IsDue(rank, state_.Age())) {
-    asio::co_spawn(init_.io, ReadStore(), asio::detached);
+    const auto cause = readSchedule_.CauseOf(rank, state_.Age());
+    asio::co_spawn(init_.io, ReadStore(cause), asio::detached);
   }
   if (!state_.HasState() && !settings_.seeds.empty()) {
     std::uniform_int_distribution<std::size_t> pick(0,
@@ -325,6 +329,16 @@
   init_.log.Flush();
 }
 
+auto RelayProcess::LogTotals() -> void
+{
+  init_.log.Write(EventLevel::Info, traffic_.Summary());
+  Event calls("store_calls");
+  for (std::size_t i = 0; i < kReadCauses; ++i) {
+    calls.With(ToText(static_cast<ReadCause>(i)), storeCalls_.at(i));
+  }
+  init_.log.Write(EventLevel::Info, calls.Text());
+}
+
 auto RelayProcess::WaitForSignal() -> void
 {
   signals_.async_wait(
--- a/src/relay_node/relay_process.h
+++ b/src/relay_node/relay_process.h
@@ -39,6 +39,8 @@
   std::uint16_t callerPort = 0;
   // IPs of the VMs to pull the state from while the process has none.
   std::vector<std::uint32_t> seeds;
+  // The whole fleet starts for the first time.
+  bool firstStart = false;
   // Longest time of a graceful stop.
   Millis stopTimeout{ 5000 };
 
@@ -127,7 +129,7 @@
   auto ServePeer(boost::asio::ip::tcp::socket aSocket) -> Task;
   auto PullFrom(std::uint32_t aIp) -> Task;
   auto StartPull(std::uint32_t aIp) -> void;
-  auto ReadStore() -> Task;
+  auto ReadStore(ReadCause aCause) -> Task;
   // @return true if other routes came into force.
   auto OnRoutesRead(Decoded<std::optional<RouteTable>>& aRead) -> bool;
   auto OnStoreError(const char* aWhat, StateSourceError aError) -> void;
@@ -137,6 +139,8 @@
 
   // Process lifecycle.
   auto Tick() -> void;
+  // Logs the bytes sent and the calls made since the start.
+  auto LogTotals() -> void;
   auto ScheduleTick() -> void;
   auto WaitForSignal() -> void;
   auto Reload(const char* aCause) -> void;
@@ -177,6 +181,7 @@
   TimePoint nextSweep_;
   TimePoint lastCallerPacket_;
   TimePoint lastTick_;
+  std::array<std::uint64_t, kReadCauses> storeCalls_{}; // by cause
   bool readingStore_ = false;
   bool storeLost_ = false;
   bool stopping_ = false;
--- a/src/relay_node/relay_state.cpp
+++ b/src/relay_node/relay_state.cpp
@@ -98,9 +98,10 @@
   FlushAll();
 }
 
-auto RelayProcess::ReadStore() -> Task
+auto RelayProcess::ReadStore(ReadCause aCause) -> Task
 {
   readingStore_ = true;
+  const auto callsBefore = init_.source.Calls();
   const auto began = init_.clock.Now();
   const bool wantsRoutes =
     readSchedule_.WantsRoutes() || state_.Routes().version == 0;
@@ -127,6 +128,8 @@
         OnRoutesRead(std::get<Decoded<std::optional<RouteTable>>>(routes));
     }
   }
+  storeCalls_.at(static_cast<std::size_t>(aCause)) +=
+    init_.source.Calls() - callsBefore;
   readingStore_ = false;
   readSchedule_.OnReadFinished(succeeded);
   if (succeeded) {
--- a/tests/relay_state_test.cpp
+++ b/tests/relay_state_test.cpp
@@ -10,6 +10,8 @@
 #include "relay/read_schedule.h"
 #include "test_support.h"
 
+#include <set>
+
 #include <algorithm>
 
 namespace damaskwalk {
@@ -155,7 +157,7 @@
   for (std::uint32_t i = 0; i < ranks.size(); ++i) {
     EXPECT_EQ(ranks[i], i);
   }
-  const ReadSchedule schedule(clock);
+  const ReadSchedule schedule(clock, Millis{ 0 });
   const auto due = [&](std::uint32_t aRank, Millis aAge) {
     return schedule.IsDue(aRank, aAge);
   };
@@ -194,10 +196,34 @@
   EXPECT_EQ(begun, kMaxConcurrentPulls);
 }
 
+// 2,000 processes that start together would ask the store 86,000 times at once.
+// The seeds ask it, the others ask them, and the store only if they are silent.
+TEST(ReadSchedule, AStartingProcessAsksItsSeedsFirst)
+{
+  const std::vector<std::uint32_t> seeds = { 3, 4, 5 };
+  EXPECT_EQ(StartReadDelay({ 4, seeds, true }), Millis{ 0 });
+  EXPECT_EQ(StartReadDelay({ 9, {}, true }), Millis{ 0 });
+  std::set<Millis> delays;
+  for (std::uint32_t ip = 10; ip < 60; ++ip) {
+    const auto first = StartReadDelay({ ip, seeds, true });
+    EXPECT_GE(first, kFirstStartReadDelay);
+    EXPECT_LT(first, 2 * kFirstStartReadDelay);
+    EXPECT_LT(StartReadDelay({ ip, seeds, false }), 2 * kRestartReadDelay);
+    delays.insert(first);
+  }
+  EXPECT_GE(delays.size(), 40U);
+  ManualClock clock;
+  const ReadSchedule schedule(clock, Millis{ 100 });
+  EXPECT_FALSE(schedule.IsDue(kMaxStoreTakeoverRank, std::nullopt));
+  clock.Advance(Millis{ 100 });
+  EXPECT_TRUE(schedule.IsDue(kMaxStoreTakeoverRank, std::nullopt));
+  EXPECT_EQ(schedule.CauseOf(0, std::nullopt), ReadCause::Start);
+}
+
 TEST(ReadSchedule, AFailedReadDelaysTheNext)
 {
   ManualClock clock;
-  ReadSchedule schedule(clock);
+  ReadSchedule schedule(clock, Millis{ 0 });
   schedule.OnReadFinished(false);
   EXPECT_FALSE(schedule.IsDue(0, Millis{ 5000 }));
   clock.Advance(kStoreRetryDelay);
