Pass waiting first packets on at a stop; survive an unforeseen exception

A planned stop of an agent under load lost the first packets that waited for room at its server; their callers sent them again 200 or 600 ms later. They go to other agents now (RelayLoad.WaitingFirstPacketsLeaveAStoppingAgent). An exception in the handling of a datagram or a tick ended the process; it is logged and counted, and the next one is handled (FaultGuard.CountsAndLogsAnExceptionAndGoesOn). An answer to a query is split before it outgrows a datagram.

--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -100,6 +100,8 @@
   auto Flush(RelayPort& aPort) -> void;
   auto Tick(RelayPort& aPort) -> void;
 
+  // The process stops: first packets that wait here go to other agents.
+  auto OnStop(RelayPort& aPort) -> void;
   auto Report() -> BackendLoad;
   // The last report before the process stops; sets noFlows if that is certain.
   auto FinalReport() -> BackendLoad;
--- a/src/relay/agent_relay_opening.cpp
+++ b/src/relay/agent_relay_opening.cpp
@@ -247,6 +247,17 @@
   Redirect(packet, *route, cause ? cause : "not_answering", aPort);
 }
 
+auto AgentRelay::OnStop(RelayPort& aPort) -> void
+{
+  const auto now = clock_.Now();
+  while (auto opening = queue_.TakeNext(now, TimeToAnswerNow())) {
+    auto packet = FirstPacketOf(opening->flow, opening->tag, opening->bytes);
+    if (const auto* route = state_.FindRoute(opening->flow.address)) {
+      Redirect(packet, *route, "stopping", aPort);
+    }
+  }
+}
+
 auto AgentRelay::StopAwaitingRequest(OwnFlow& aOwn) -> void
 {
   if (aOwn.awaitsFirstRequest) {
--- a/src/relay/flow_queries.cpp
+++ b/src/relay/flow_queries.cpp
@@ -164,7 +164,13 @@
   FlowAnswer answer;
   answer.flow = aFlow;
   answer.holder = aHolder;
-  answer.certain.assign(aQuery.certain.begin(), aQuery.certain.end());
+  for (const auto agent : aQuery.certain) {
+    answer.certain.push_back(agent);
+    if (answer.certain.size() == kMaxAgentsPerAnswer) {
+      aPort.SendToPeer(aQuery.asker, PeerMessage{ answer });
+      answer.certain.clear();
+    }
+  }
   aPort.SendToPeer(aQuery.asker, PeerMessage{ std::move(answer) });
 }
 
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -161,6 +161,8 @@
 // A domain answers for itself after this time at the latest, within which a
 // backend server returns a packet.
 constexpr Millis kDomainAnswerTimeout{ 60 };
+// Keeps an answer below the size of a datagram.
+constexpr std::size_t kMaxAgentsPerAnswer = 256;
 // Fewer missing agents of a domain are asked directly.
 constexpr std::size_t kMinAgentsForDomainQuery = 3;
 
--- a/src/relay/peer_messages.cpp
+++ b/src/relay/peer_messages.cpp
@@ -1,5 +1,6 @@
 #include "relay/peer_messages.h"
 
+#include "relay/limits.h"
 #include "wire/codec.h"
 
 #include <istream>
@@ -17,7 +18,6 @@
 constexpr std::size_t kMaxAgentsPerReport = 64;
 constexpr std::size_t kMaxBalancersPerReport = 256;
 constexpr std::size_t kMaxPacketBytes = 2048;
-constexpr std::size_t kMaxAgentsPerAnswer = 4096;
 constexpr std::size_t kMaxRoutes = 65536;
 constexpr std::size_t kMaxTargets = 65536;
 constexpr std::size_t kMaxServicesPerRoute = 64;
--- a/src/relay_node/relay_metrics.cpp
+++ b/src/relay_node/relay_metrics.cpp
@@ -186,6 +186,9 @@
   list.Gauge("peers", "Relays heard from", double(peers_.Peers().size()));
   list.Counter(
     "store_calls_total", "Calls to the store", double(init_.source.Calls()));
+  list.Counter("unexpected_errors_total",
+               "Exceptions that ended the handling of one message or tick",
+               double(guard_.Count()));
   list.Counter(
     "garbage_packets_total", "Unreadable packets", double(malformedPackets_));
   list.Counter("garbage_peer_messages_total",
--- a/src/relay_node/relay_process.cpp
+++ b/src/relay_node/relay_process.cpp
@@ -76,6 +76,7 @@
   , nextSweep_(aInit.clock.Now())
   , lastCallerPacket_(aInit.clock.Now())
   , lastTick_(aInit.clock.Now())
+  , guard_(aInit.log)
   , nextTrafficLog_(aInit.clock.Now() + kTrafficLogPeriod)
 {
   exchange_.SetSeeds(settings_.seeds);
@@ -120,21 +121,21 @@
                     .With("version", DAMASKWALK_VERSION)
                     .Text());
   init_.log.Flush();
-  const auto flush = [this] { FlushAll(); };
+  const auto flush = [this] { guard_.Run([this] { FlushAll(); }); };
   packetSocket_.Start(
     [this](std::span<char> aBytes, const Endpoint& aFrom) {
-      OnCallerDatagram(aBytes, aFrom);
+      guard_.Run([&] { OnCallerDatagram(aBytes, aFrom); });
     },
     flush);
   peerSocket_.Start(
     [this](std::span<char> aBytes, const Endpoint& aFrom) {
-      OnPeerDatagram(aBytes, aFrom);
+      guard_.Run([&] { OnPeerDatagram(aBytes, aFrom); });
     },
     flush);
   if (agent_) {
     outboundSocket_->Start(
       [this](std::span<char> aBytes, const Endpoint&) {
-        OnBackendDatagram(aBytes);
+        guard_.Run([&] { OnBackendDatagram(aBytes); });
       },
       flush);
     // Sends only; reading reports a closed port of the backend server.
@@ -152,8 +153,8 @@
   }
   asio::co_spawn(init_.io, ServePeers(), asio::detached);
   WaitForSignal();
-  Tick();
   ScheduleTick();
+  guard_.Run([this] { Tick(); });
   init_.io.run();
   init_.log.Write(EventLevel::Info, Event("stopped").Text());
   init_.log.Flush();
@@ -273,8 +274,8 @@
   tickTimer_.expires_after(kTickPeriod);
   tickTimer_.async_wait([this](const boost::system::error_code& aError) {
     if (!aError) {
-      Tick();
       ScheduleTick();
+      guard_.Run([this] { Tick(); });
     }
   });
 }
@@ -383,6 +384,9 @@
     Event("stopping")
       .With("flows", agent_ ? agent_->Flows() : balancer_->Flows())
       .Text());
+  if (agent_) {
+    agent_->OnStop(*this);
+  }
   CheckStop();
 }
 
--- a/src/relay_node/relay_process.h
+++ b/src/relay_node/relay_process.h
@@ -11,6 +11,7 @@
 #include "relay/state_transfer.h"
 #include "relay_node/bounded_log.h"
 #include "relay_node/datagram_socket.h"
+#include "relay_node/fault_guard.h"
 #include "relay_node/finding_log.h"
 #include "relay_node/http_endpoint.h"
 #include "relay_node/interfaces.h"
@@ -186,6 +187,7 @@
   bool storeLost_ = false;
   bool stopping_ = false;
   TimePoint stopBegan_;
+  FaultGuard guard_;
   PeerTraffic traffic_;
   TimePoint nextTrafficLog_;
   std::uint64_t malformedPackets_ = 0;
--- a/tests/decoding_test.cpp
+++ b/tests/decoding_test.cpp
@@ -4,6 +4,7 @@
 #include "platform/route_decoder.h"
 #include "platform/store_decoder.h"
 #include "relay/peer_messages.h"
+#include "relay_node/fault_guard.h"
 #include "relay_node/finding_log.h"
 #include "test_support.h"
 
@@ -11,6 +12,7 @@
 #include <boost/leaf/pred.hpp>
 
 #include <set>
+#include <stdexcept>
 
 namespace damaskwalk::platform {
 
@@ -291,6 +293,21 @@
   EXPECT_EQ(log.lines.size(), 3U);
 }
 
+// An exception that nobody foresaw ends the handling of one message, not the
+// process.
+TEST(FaultGuard, CountsAndLogsAnExceptionAndGoesOn)
+{
+  LineCounter log;
+  FaultGuard guard(log);
+  bool reached = false;
+  guard.Run([] { throw std::length_error("too long"); });
+  guard.Run([&reached] { reached = true; });
+  EXPECT_TRUE(reached);
+  EXPECT_EQ(guard.Count(), 1U);
+  ASSERT_EQ(log.lines.size(), 1U);
+  EXPECT_NE(log.lines[0].find("too long"), std::string::npos);
+}
+
 // A peer of a later release appends fields, and sends kinds that this release
 // does not know.
 TEST(Decoding, MessagesOfALaterReleaseKeepThePeer)
--- a/tests/relay_load_test.cpp
+++ b/tests/relay_load_test.cpp
@@ -180,6 +180,26 @@
   EXPECT_EQ(model.Opened(0), opened);
 }
 
+// An agent is stopped while first packets wait for room at its server. They go
+// on at once instead of being lost until the callers' retransmissions.
+TEST(RelayLoad, WaitingFirstPacketsLeaveAStoppingAgent)
+{
+  RelayModel model({ 2, 1 }, 1);
+  model.SetServiceTime(0, Millis{ 300 });
+  std::vector<std::size_t> flows;
+  for (std::size_t i = 0; i < 60; ++i) {
+    flows.push_back(model.Open(0, 0));
+  }
+  model.Run(Millis{ 10 });
+  const auto waiting = model.Agent(0).QueuedOpenings();
+  const auto elsewhere = model.Opened(1) + model.Agent(1).QueuedOpenings();
+  ASSERT_GT(waiting, 0U);
+  model.StopAgentGracefully(0);
+  model.Run(Millis{ 20 });
+  EXPECT_GE(model.Opened(1) + model.Agent(1).QueuedOpenings(),
+            elsewhere + waiting);
+}
+
 TEST(RelayLoad, ARetransmissionOpensAfterTheSurge)
 {
   RelayModel model({ 1, 1 }, 1);
--- a/tests/relay_model_faults.cpp
+++ b/tests/relay_model_faults.cpp
@@ -29,6 +29,8 @@
 
 auto RelayModel::StopAgentGracefully(std::size_t aTarget) -> void
 {
+  auto& node = *targets_[aTarget]->node;
+  node.agent->OnStop(node.port);
   SendHeartbeat(*targets_[aTarget], true);
   StopAgent(aTarget);
 }
