--- a/src/relay/agent_relay_search.cpp
+++ b/src/relay/agent_relay_search.cpp
@@ -157,8 +157,8 @@
 
 auto AgentRelay::ResetLostFlows(RelayPort& aPort) -> void
 {
-  for (const auto& owned : queries_.TakeLost()) {
-    const auto& packet = owned->Get();
+  for (const auto& lost : queries_.TakeLost()) {
+    const auto& packet = lost.packet->Get();
     ++counters_.searchEnded;
     ++counters_.resets;
     log_.Write(EventLevel::Warning,
@@ -167,6 +167,8 @@
                  .With("outcome", "reset")
                  .With("every_agent_asked", true)
                  .With("hops", packet.tag.hops)
+                 .With("took_ms", lost.took.count())
+                 .With("rounds", lost.rounds)
                  .With("targets", state_.Targets().revision)
                  .With("age_ms", state_.Digest().age.count())
                  .Text());
--- a/src/relay/flow_queries.cpp
+++ b/src/relay/flow_queries.cpp
@@ -150,7 +150,10 @@
     return false;
   }
   if (route) {
-    lost_.push_back(std::move(aQuery->second.packet));
+    auto& query = aQuery->second;
+    const auto took =
+      std::chrono::duration_cast<Millis>(clock_.Now() - query.began);
+    lost_.push_back({ std::move(query.packet), took, query.rounds });
   }
   own_.erase(aQuery);
   return true;
@@ -205,7 +208,7 @@
   }
 }
 
-auto FlowQueries::TakeLost() -> std::vector<std::unique_ptr<OwnedPacket>>
+auto FlowQueries::TakeLost() -> std::vector<Lost>
 {
   return std::exchange(lost_, {});
 }
--- a/src/relay/flow_queries.h
+++ b/src/relay/flow_queries.h
@@ -43,9 +43,14 @@
                    const RelayRoute& aRoute,
                    RelayPort& aPort) -> void;
   auto OnAnswer(const FlowAnswer& aAnswer, RelayPort& aPort) -> void;
-  // The packet of each flow that no agent has. Every agent that may have it has
-  // answered.
-  auto TakeLost() -> std::vector<std::unique_ptr<OwnedPacket>>;
+  // A flow that no agent has. Every agent that may have it has answered.
+  struct Lost
+  {
+    std::unique_ptr<OwnedPacket> packet;
+    Millis took{ 0 };
+    std::uint32_t rounds = 0;
+  };
+  auto TakeLost() -> std::vector<Lost>;
   // Flows that were given up, with the agents that had not answered.
   struct Undecided
   {
@@ -96,7 +101,7 @@
   std::mt19937_64 random_;
   Table own_;
   Table domain_; // asked for other domains' agents
-  std::vector<std::unique_ptr<OwnedPacket>> lost_;
+  std::vector<Lost> lost_;
   std::vector<Undecided> undecided_;
 };
 
