Don't wait for the agents of targets that are gone

A gone target's agent is asked twice and then not waited for; one that answers still counts. RelayLostFlow.AGoneTargetsAgentIsNotWaitedFor failed first.

--- a/src/relay/flow_queries.cpp
+++ b/src/relay/flow_queries.cpp
@@ -10,11 +10,15 @@
 namespace {
 
 // True if a flow cannot be called lost without the target's answer.
-auto MustAnswer(const KnownTarget& aKnown, const PeerTable& aPeers) -> bool
+// @param aRounds times that the missing agents were asked.
+auto MustAnswer(const KnownTarget& aKnown,
+                const PeerTable& aPeers,
+                std::uint32_t aRounds) -> bool
 {
   const auto ip = aKnown.target.agent.ip;
   if (aKnown.standing == TargetStanding::Gone) {
-    return !aPeers.IsFar(ip) && !aPeers.IsSilent(ip);
+    return aRounds <= kMaxRoundsForGone && !aPeers.IsFar(ip) &&
+           !aPeers.IsSilent(ip);
   }
   return !aPeers.HasStoppedWithoutFlows(ip);
 }
@@ -66,7 +70,7 @@
     for (const auto index : state_.TargetsOfService(entry.service)) {
       const auto& known = state_.KnownTargets()[index];
       if (!aQuery.certain.contains(known.target.agent.ip) &&
-          MustAnswer(known, peers_)) {
+          MustAnswer(known, peers_, aQuery.rounds)) {
         missing.push_back(&known);
       }
     }
@@ -123,7 +127,6 @@
 {
   const auto delay = kFlowQueryRound * (std::int64_t{ 1 } << aQuery.rounds);
   aQuery.nextRound = clock_.Now() + std::min(delay, kMaxFlowQueryRound);
-  ++aQuery.rounds;
   std::map<std::string, std::vector<std::uint32_t>> byDomain;
   for (const auto* known : Missing(aQuery, aRoute)) {
     const auto ip = known->target.agent.ip;
@@ -248,6 +251,7 @@
     const auto* route = state_.FindRoute(entry->first.address);
     const bool expired = now - query.began >= kFlowQueryLifetime;
     const bool due = expired || now >= query.nextRound;
+    query.rounds += due ? 1 : 0;
     if (!route) {
       own_.erase(entry);
     } else if (due && !Conclude(entry)) {
--- a/src/relay/flow_queries.h
+++ b/src/relay/flow_queries.h
@@ -72,7 +72,7 @@
     std::set<std::uint32_t> certain;
     TimePoint began;
     TimePoint nextRound;
-    std::uint32_t rounds = 0;
+    std::uint32_t rounds = 0; // of asking again
   };
   using Table = std::unordered_map<FlowKey, Query, KeyHash>;
 
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -157,6 +157,9 @@
 // start within a second.
 constexpr Millis kFlowQueryRound{ 100 };
 constexpr Millis kMaxFlowQueryRound{ 400 };
+// Rounds in which an agent is waited for whose target is no longer registered;
+// its VM is mostly gone as well.
+constexpr std::uint32_t kMaxRoundsForGone = 1;
 constexpr Millis kFlowQueryLifetime{ 3000 };
 // A domain answers for itself after this time at the latest, within which a
 // backend server returns a packet.
--- a/tests/relay_lost_flow_test.cpp
+++ b/tests/relay_lost_flow_test.cpp
@@ -110,6 +110,27 @@
   EXPECT_GE(CountReset(model, flows), flows.size() * 9 / 10);
 }
 
+// The VM of a target whose registration lapsed is gone with its agent. Nobody
+// waits until the agent counts as silent.
+TEST(RelayLostFlow, AGoneTargetsAgentIsNotWaitedFor)
+{
+  RelayModel model({ kTargets, 2 }, 2);
+  const auto flows = OpenFlows(model, 60);
+  for (std::size_t i = 0; i < model.Targets(); ++i) {
+    LosePower(model, i);
+  }
+  model.SetDraining(7);
+  model.RestartBalancer(0);
+  model.Publish();
+  model.Run(Millis{ 1000 });
+  model.StopAgent(7);
+  model.Register(7, false);
+  model.Publish();
+  SendOnAll(model, flows);
+  model.Run(Millis{ 450 });
+  EXPECT_EQ(CountReset(model, flows), flows.size());
+}
+
 // Only agents lose their tables. Every flow lives on and is found.
 TEST(RelayLostFlow, LiveFlowsAreFoundAndNotReset)
 {
