--- a/src/relay/read_schedule.h
+++ b/src/relay/read_schedule.h
@@ -4,6 +4,7 @@
 // others take over by rank if the state has not been confirmed for a while.
 
 #include "relay/fleet_state.h"
+#include "relay/peer_messages.h"
 
 namespace damaskwalk {
 
@@ -16,6 +17,7 @@
 struct StartInit
 {
   std::uint32_t self = 0; // address of this VM
+  RelayRole role = RelayRole::Balancer;
   // VMs that other starting processes ask for the state.
   std::vector<std::uint32_t> seeds;
   // The whole fleet starts for the first time, ahead of its callers.
@@ -23,7 +25,9 @@
 };
 
 // Time that a starting process waits for its peers' state before it reads the
-// store itself. A seed does not wait: the others ask it.
+// store itself. A seed does not wait: the others ask it. Agents wait longer
+// than balancers, since who has the state knows their addresses and announces
+// itself; one in kAgentsPerEarlyReader does not.
 auto StartReadDelay(const StartInit& aInit) -> Millis;
 
 enum class ReadCause : std::uint8_t
