--- a/src/relay/peer_messages.cpp
+++ b/src/relay/peer_messages.cpp
@@ -2,6 +2,7 @@
 
 #include "relay/limits.h"
 #include "wire/codec.h"
+#include "wire/packed.h"
 
 #include <istream>
 #include <ostream>
@@ -18,6 +19,7 @@
 constexpr std::size_t kMaxAgentsPerReport = 64;
 constexpr std::size_t kMaxBalancersPerReport = 256;
 constexpr std::size_t kMaxPacketBytes = 2048;
+constexpr std::size_t kMaxPackedBytes = std::size_t{ 4 } * 1024 * 1024;
 constexpr std::size_t kMaxRoutes = 65536;
 constexpr std::size_t kMaxTargets = 65536;
 constexpr std::size_t kMaxServicesPerRoute = 64;
@@ -260,6 +262,21 @@
   return {};
 }
 
+auto UnpackInto(StateReply& aReply) -> leaf::result<void>
+{
+  const auto bytes = Unpack(aReply.packed);
+  aReply.packed.clear();
+  if (!bytes) {
+    return leaf::new_error(WireError::Malformed);
+  }
+  return Decode(*bytes, [&aReply](InArchive& aArchive) {
+    auto routes = Bounded<1>(aReply.routes);
+    auto targets = Bounded<1>(aReply.targets);
+    aArchive(routes, targets);
+    return true;
+  });
+}
+
 // Replaces kinds and states of a later release by the most careful known ones.
 auto ReplaceUnknownWords(StateReply& aReply) -> void
 {
@@ -346,8 +363,8 @@
 
 auto EncodeStateRequest(const StateRequest& aRequest) -> std::string
 {
-  return aRequest.acceptsDeltas ? Encode(aRequest, aRequest.acceptsDeltas)
-                                : Encode(aRequest);
+  return aRequest.acceptsCompact ? Encode(aRequest, aRequest.acceptsCompact)
+                                 : Encode(aRequest);
 }
 
 auto DecodeStateRequest(std::string_view aBytes) -> leaf::result<StateRequest>
@@ -356,18 +373,27 @@
   BOOST_LEAF_CHECK(DecodeAppended(
     aBytes,
     [&request](InArchive& aArchive) { aArchive(request); },
-    [&request](InArchive& aArchive) { aArchive(request.acceptsDeltas); }));
+    [&request](InArchive& aArchive) { aArchive(request.acceptsCompact); }));
   return request;
 }
 
 auto EncodeStateReply(const StateReply& aReply) -> std::string
 {
-  // Earlier releases, which ask for no deltas, refuse bytes at the end.
-  if (aReply.deltas.empty()) {
+  // Earlier releases, which ask for nothing compact, refuse bytes at the end.
+  if (aReply.deltas.empty() && aReply.packed.empty()) {
     return Encode(aReply);
   }
   auto reply = aReply;
-  return Encode(reply, Bounded<1>(reply.deltas));
+  return Encode(
+    reply, Bounded<1>(reply.deltas), Bounded<kMaxPackedBytes>(reply.packed));
+}
+
+auto PackState(const std::vector<RouteTable>& aRoutes,
+               const std::vector<TargetSet>& aTargets) -> std::string
+{
+  auto routes = aRoutes;
+  auto targets = aTargets;
+  return Pack(Encode(Bounded<1>(routes), Bounded<1>(targets)));
 }
 
 auto DecodeStateReply(std::string_view aBytes) -> leaf::result<StateReply>
@@ -379,7 +405,12 @@
     [&reply](InArchive& aArchive) {
       auto deltas = Bounded<1>(reply.deltas);
       aArchive(deltas);
+      auto packed = Bounded<kMaxPackedBytes>(reply.packed);
+      aArchive(packed);
     }));
+  if (!reply.packed.empty()) {
+    BOOST_LEAF_CHECK(UnpackInto(reply));
+  }
   ReplaceUnknownWords(reply);
   return reply;
 }
--- a/src/relay/peer_messages.h
+++ b/src/relay/peer_messages.h
@@ -115,7 +115,9 @@
 struct StateRequest
 {
   StateDigest have;
-  bool acceptsDeltas = false; // appended; absent in earlier releases
+  // The requester reads deltas and packed state. Appended; absent in earlier
+  // releases.
+  bool acceptsCompact = false;
 };
 
 struct StateReply
@@ -124,8 +126,11 @@
   // One entry if newer than the requester's, else none.
   std::vector<RouteTable> routes;
   std::vector<TargetSet> targets;
-  // One entry in place of the targets, for requesters that accept deltas.
+  // For requesters that accept compact state: one entry in place of the
+  // targets, and routes and targets as PackState makes them. Decoding unpacks
+  // the latter.
   std::vector<TargetDelta> deltas;
+  std::string packed;
 };
 
 auto EncodePeerMessage(const PeerMessage& aMessage) -> std::string;
@@ -135,6 +140,9 @@
 auto DecodeStateRequest(std::string_view aBytes)
   -> boost::leaf::result<StateRequest>;
 auto EncodeStateReply(const StateReply& aReply) -> std::string;
+// Compresses routes and targets, to be sent many times.
+auto PackState(const std::vector<RouteTable>& aRoutes,
+               const std::vector<TargetSet>& aTargets) -> std::string;
 auto DecodeStateReply(std::string_view aBytes)
   -> boost::leaf::result<StateReply>;
 
--- a/src/relay/read_schedule.h
+++ b/src/relay/read_schedule.h
@@ -4,7 +4,6 @@
 // others take over by rank if the state has not been confirmed for a while.
 
 #include "relay/fleet_state.h"
-#include "relay/peer_messages.h"
 
 namespace damaskwalk {
 
@@ -17,7 +16,6 @@
 struct StartInit
 {
   std::uint32_t self = 0; // address of this VM
-  RelayRole role = RelayRole::Balancer;
   // VMs that other starting processes ask for the state.
   std::vector<std::uint32_t> seeds;
   // The whole fleet starts for the first time, ahead of its callers.
--- a/src/relay/state_transfer.cpp
+++ b/src/relay/state_transfer.cpp
@@ -1,7 +1,15 @@
 #include "relay/state_transfer.h"
 
+#include <algorithm>
+
 namespace damaskwalk {
 
+namespace {
+
+constexpr std::size_t kMaxPackedStates = 3;
+
+} // namespace
+
 StateTransfer::StateTransfer(FleetState& aState)
   : state_(aState)
 {
@@ -36,10 +44,13 @@
     reply.digest.targets > aRequest.have.targets &&
     reply.digest.targetsHash != aRequest.have.targetsHash;
   if (!hasNewerTargets) {
+    if (aRequest.acceptsCompact) {
+      PackReply(reply);
+    }
     return reply;
   }
-  auto delta = aRequest.acceptsDeltas ? log_.Since(aRequest.have.targetsHash)
-                                      : std::nullopt;
+  auto delta = aRequest.acceptsCompact ? log_.Since(aRequest.have.targetsHash)
+                                       : std::nullopt;
   if (delta) {
     ++counts_.deltasSent;
     delta->revision = reply.digest.targets;
@@ -48,9 +59,36 @@
     ++counts_.wholeSent;
     reply.targets.push_back(state_.Targets());
   }
+  if (aRequest.acceptsCompact) {
+    PackReply(reply);
+  }
   return reply;
 }
 
+auto StateTransfer::PackReply(StateReply& aReply) -> void
+{
+  if (aReply.routes.empty() && aReply.targets.empty()) {
+    return;
+  }
+  StateDigest of;
+  of.routes = aReply.routes.empty() ? 0 : aReply.digest.routes;
+  of.targetsHash = aReply.targets.empty() ? 0 : aReply.digest.targetsHash;
+  const auto isSame = [&of](const PackedState& aPacked) {
+    return aPacked.of.routes == of.routes &&
+           aPacked.of.targetsHash == of.targetsHash;
+  };
+  auto found = std::ranges::find_if(packed_, isSame);
+  if (found == packed_.end()) {
+    packed_.insert(packed_.begin(),
+                   { of, PackState(aReply.routes, aReply.targets) });
+    packed_.resize(std::min(packed_.size(), kMaxPackedStates));
+    found = packed_.begin();
+  }
+  aReply.packed = found->bytes;
+  aReply.routes.clear();
+  aReply.targets.clear();
+}
+
 auto StateTransfer::Apply(StateReply aReply, Millis aTook) -> bool
 {
   bool changed = false;
@@ -58,8 +96,10 @@
     changed |= state_.UpdateRoutes(std::move(table));
   }
   const auto age = aReply.digest.age + aTook;
-  for (const auto& set : aReply.targets) {
+  for (auto& set : aReply.targets) {
     wantsWhole_ = false;
+    // A packed set may be older than the revision that confirmed it.
+    set.revision = std::max(set.revision, aReply.digest.targets);
     changed |= state_.UpdateTargets(set, age);
   }
   for (const auto& delta : aReply.deltas) {
--- a/src/relay/state_transfer.h
+++ b/src/relay/state_transfer.h
@@ -2,7 +2,8 @@
 
 // Requests for newer state, the replies to them, and what they change. Targets
 // travel as the changes since the set that the requester has, if the replying
-// process knows that set, else as a whole.
+// process knows that set. Whole state is packed once and sent many times: after
+// a loss of power the links of a few seeds carry it to all balancers.
 
 #include "relay/peer_messages.h"
 #include "relay/target_log.h"
@@ -33,8 +34,17 @@
   auto Counts() const -> const TransferCounts& { return counts_; }
 
 private:
+  // Moves the whole routes and targets of a reply to its packed part.
+  auto PackReply(StateReply& aReply) -> void;
+
   FleetState& state_;
   TargetLog log_;
+  struct PackedState
+  {
+    StateDigest of; // without the age; routes or targets are 0 if left out
+    std::string bytes;
+  };
+  std::vector<PackedState> packed_; // the latest first
   bool wantsWhole_ = false;
   TransferCounts counts_;
 };
--- a/src/relay_node/relay_process.cpp
+++ b/src/relay_node/relay_process.cpp
@@ -57,7 +57,6 @@
               *this)
   , readSchedule_(aInit.clock,
                   StartReadDelay({ aInit.settings.peers.ip,
-                                   aInit.settings.role,
                                    aInit.settings.seeds,
                                    aInit.settings.firstStart }))
   , pullSchedule_(aInit.clock)
--- a/tests/state_transfer_test.cpp
+++ b/tests/state_transfer_test.cpp
@@ -99,6 +99,50 @@
   EXPECT_EQ(other.state.Digest().targets, 2U);
 }
 
+// A starting process gets everything packed: 900 routes and 136 targets take
+// 20 kB of a seed's link instead of 190 kB of the store's.
+TEST(StateTransfer, WholeStateIsPackedOnce)
+{
+  ManualClock clock;
+  Process seed(clock);
+  RouteTable table;
+  table.version = 7;
+  for (std::uint16_t i = 0; i < 900; ++i) {
+    RelayRoute route;
+    route.name = "r-3hh2b9w" + std::to_string(i);
+    route.address = { 0xC6120000U + i, 8443 };
+    route.timeout = Millis{ 3000 };
+    route.services.push_back({ ServiceIdOf("s"), 1 });
+    table.routes.push_back(route);
+  }
+  seed.state.UpdateRoutes(table);
+  seed.Take(SetOf(5, 136));
+  FleetState empty(clock);
+  StateTransfer other(empty);
+  const auto reply = seed.transfer.MakeReply(other.MakeRequest());
+  const auto bytes = EncodeStateReply(reply);
+  EXPECT_LT(bytes.size(), 20000U);
+  EXPECT_EQ(seed.transfer.MakeReply(other.MakeRequest()).packed, reply.packed);
+  boost::leaf::try_handle_all(
+    [&]() -> boost::leaf::result<void> {
+      BOOST_LEAF_AUTO(got, DecodeStateReply(bytes));
+      EXPECT_TRUE(other.Apply(got, Millis{ 0 }));
+      return {};
+    },
+    [] { FAIL() << "packed state refused"; });
+  EXPECT_EQ(empty.Routes().routes.size(), 900U);
+  EXPECT_EQ(empty.Targets().Hash(), seed.state.Targets().Hash());
+  for (std::size_t size = 0; size < bytes.size(); size += 97) {
+    boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(cut, DecodeStateReply({ bytes.data(), size }));
+        EXPECT_TRUE(cut.routes.empty());
+        return {};
+      },
+      [] {});
+  }
+}
+
 // A process of an earlier release asks without deltas and gets the whole set.
 TEST(StateTransfer, EarlierReleasesGetTheWholeSet)
 {
