--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -75,9 +75,9 @@
 constexpr Millis kFirstStartReadDelay{ 1500 };
 constexpr Millis kRestartReadDelay{ 40 };
 // After a loss of power the store's link carries the state to every process
-// that reads it. Most agents wait for those that read early.
+// that reads it. Most wait for those that read early.
 constexpr Millis kLateRestartReadDelay{ 150 };
-constexpr std::uint64_t kAgentsPerEarlyReader = 8;
+constexpr std::uint64_t kProcessesPerEarlyReader = 8;
 // Routes change less often than targets: every second read asks for them.
 constexpr std::uint32_t kReadsPerRouteRead = 2;
 
--- a/src/relay/read_schedule.cpp
+++ b/src/relay/read_schedule.cpp
@@ -41,11 +41,13 @@
   if (isSeed || aInit.seeds.empty()) {
     return Millis{ 0 };
   }
-  const auto delay =
-    aInit.firstStart ? kFirstStartReadDelay : kRestartReadDelay;
+  const auto draw = Mix(aInit.self, kStartKey);
+  const bool isEarly = draw % kProcessesPerEarlyReader == 0;
+  const auto restart = isEarly ? kRestartReadDelay : kLateRestartReadDelay;
+  const auto delay = aInit.firstStart ? kFirstStartReadDelay : restart;
   // Spreads the reads of those whose seeds do not answer.
-  const auto spread =
-    Mix(aInit.self, kStartKey) % static_cast<std::uint64_t>(delay.count());
+  const auto spread = (draw / kProcessesPerEarlyReader) %
+                      static_cast<std::uint64_t>(delay.count());
   return delay + Millis{ static_cast<std::int64_t>(spread) };
 }
 
--- a/src/relay/read_schedule.h
+++ b/src/relay/read_schedule.h
@@ -23,9 +23,9 @@
 };
 
 // Time that a starting process waits for its peers' state before it reads the
-// store itself. A seed does not wait: the others ask it. Agents wait longer
-// than balancers, since who has the state knows their addresses and announces
-// itself; one in kAgentsPerEarlyReader does not.
+// store itself. A seed does not wait: the others ask it. One process in
+// kProcessesPerEarlyReader waits less than the others, in case no seed answers;
+// who has the state announces itself to the agents that it names.
 auto StartReadDelay(const StartInit& aInit) -> Millis;
 
 enum class ReadCause : std::uint8_t
