--- a/src/core/key_home.cpp
+++ b/src/core/key_home.cpp
@@ -55,8 +55,8 @@
   RefreshLease(now);
   const bool wasTarget =
     std::ranges::find(targets_, init_.self) != targets_.end();
-  hadLeaseAtSwitch_ = wasTarget && pendingRejoins_.empty() &&
-                      now <= leaseUntil_ + kTakeoverDelay;
+  hadLeaseAtSwitch_ =
+    wasTarget && pendingRejoins_.empty() && now <= leaseUntil_ + kTakeoverDelay;
   if (wasTarget) {
     ownRoleSince_ = AllRolesSince();
   } else {
--- a/src/relay/opening_queue.h
+++ b/src/relay/opening_queue.h
@@ -47,8 +47,7 @@
   // The number of openings that TakeNext would take before this one.
   auto CountAhead(const WaitingOpening& aOpening,
                   TimePoint aNow,
-                  std::chrono::microseconds aTimeToAnswer) const
-    -> std::size_t;
+                  std::chrono::microseconds aTimeToAnswer) const -> std::size_t;
   // Takes the openings whose answer would come too late even if they were
   // admitted now, and those that their caller is about to give up.
   auto TakeExpired(TimePoint aNow, std::chrono::microseconds aTimeToAnswer)
--- a/tests/key_home_test.cpp
+++ b/tests/key_home_test.cpp
@@ -360,10 +360,10 @@
   {
     auto& home = homes_[aHome];
     for (const auto& peer : home.PendingPulls()) {
-      home.OnPullReply(
-        peer,
-        homes_[Index(peer)].OnPull(
-          Agent(aHome), home.TargetsDigest(), home.FormerDigest()));
+      home.OnPullReply(peer,
+                       homes_[Index(peer)].OnPull(Agent(aHome),
+                                                  home.TargetsDigest(),
+                                                  home.FormerDigest()));
     }
   }
 
@@ -385,7 +385,8 @@
              std::uint64_t aAttempt,
              std::int64_t aIssued) -> ClaimResult
   {
-    return homes_[aHome].Claim({ {}, aKey, "c", { 1, aAttempt }, aIssued })
+    return homes_[aHome]
+      .Claim({ {}, aKey, "c", { 1, aAttempt }, aIssued })
       .result;
   }
 
@@ -412,9 +413,9 @@
   {
     auto& home = homes_[aHome];
     for (const auto& peer : home.PendingRejoins()) {
-      home.OnRejoinReply(peer,
-                         homes_[Index(peer)].OnRejoin(
-                           Agent(aHome), 1, home.TargetsDigest()));
+      home.OnRejoinReply(
+        peer,
+        homes_[Index(peer)].OnRejoin(Agent(aHome), 1, home.TargetsDigest()));
     }
   }
 
