Search lost flows in every service that their route named before

Second cause: agents heard heartbeats of their own service only.

Change: RouteHistory keeps former services for the lifetime of a flow (bounds.maxFlowS) and is exchanged with state; searches cover them. A process that starts calls nothing lost before it has a peer's history, or 60 ms have passed without one. Agents watch those of every service that shares a route with theirs; an agent that is not watched is silent only when it said that it stops. Heartbeats grow by one byte where there is no history and no evacuation. State and messages for evacuations and limits of cold servers are here as well; nothing sets them yet.

--- a/src/relay/agent_relay_search.cpp
+++ b/src/relay/agent_relay_search.cpp
@@ -19,8 +19,9 @@
   }
   // A live flow has had a packet here within the idle timeout. Until entries
   // were kept for that long, only the backend server knows whether it has it.
-  if (!IsCertainOfFlows(*route) && !aPacket.returned &&
-      !flows_.contains(aPacket.flow)) {
+  const bool isCertain = IsCertainOfFlows(*route) || aPacket.returned ||
+                         flows_.contains(aPacket.flow);
+  if (!isCertain && state_.MayHold(*route, Service())) {
     ++counters_.delivered;
     aPort.SendToBackend(aPacket);
     return;
@@ -43,7 +44,7 @@
     tag.complete = true;
     tag.view = order_.ViewHash(*route);
   }
-  tag.complete &= !step.skippedSilent;
+  tag.complete &= isCertain && !step.skippedSilent;
   if (!step.agent || tag.hops >= kMaxSearchHops) {
     EndSearch(aPacket, aPort);
     return;
@@ -55,7 +56,9 @@
 
 auto AgentRelay::IsCertainOfFlows(const RelayRoute& aRoute) const -> bool
 {
-  return HasCompleteFlowTable() || meter_.IsDown() || !aRoute.Allows(Service());
+  const bool neverNamed =
+    state_.KnowsServicesHolding() && !state_.MayHold(aRoute, Service());
+  return HasCompleteFlowTable() || meter_.IsDown() || neverNamed;
 }
 
 auto AgentRelay::AskForFlow(Packet& aPacket,
@@ -104,7 +107,7 @@
     OnLaterPacket(aPacket, aPort);
   } else if (found != flows_.end() || IsCertainOfFlows(*route)) {
     AnswerQuery(asker, aPacket.flow, false, aPort);
-  } else {
+  } else if (state_.MayHold(*route, Service())) {
     auto& question = questions_[aPacket.flow];
     question.askers.push_back(asker);
     question.since = clock_.Now();
--- a/src/relay/fleet_state.cpp
+++ b/src/relay/fleet_state.cpp
@@ -71,6 +71,7 @@
 
 FleetState::FleetState(const Clock& aClock)
   : clock_(aClock)
+  , history_(aClock)
 {
 }
 
@@ -79,6 +80,11 @@
   if (hasRoutes_ && aTable.version <= routes_.version) {
     return false;
   }
+  if (hasRoutes_) {
+    history_.OnRoutes(routes_, aTable);
+  } else {
+    history_.OnFirstRoutes();
+  }
   routes_ = std::move(aTable);
   hasRoutes_ = true;
   byAddress_.clear();
@@ -88,6 +94,30 @@
   return true;
 }
 
+auto FleetState::UpdateEvacuations(EvacuationSet aSet) -> EvacuationChange
+{
+  auto change = evacuations_.Update(std::move(aSet));
+  if (change.IsEmpty()) {
+    return change;
+  }
+  const auto now = clock_.Now();
+  for (auto& known : known_) {
+    const bool wasEvacuated = known.evacuated;
+    MarkEvacuated(known);
+    const auto* limits = LimitsOf(known.target.service);
+    if (wasEvacuated && !known.evacuated && limits) {
+      known.coldUntil = std::max(known.coldUntil, now + limits->coldStart);
+    }
+  }
+  return change;
+}
+
+auto FleetState::MarkEvacuated(KnownTarget& aKnown) const -> void
+{
+  aKnown.evacuated =
+    evacuations_.Contains(DomainIdOf(aKnown.target.failureDomain));
+}
+
 auto FleetState::UpdateTargets(const TargetSet& aSet, Millis aReadAge) -> bool
 {
   const auto now = clock_.Now();
@@ -151,6 +181,7 @@
     targets_.revision = std::max(targets_.revision, aDigest.targets);
     confirmedAt_ = std::max(confirmedAt_, clock_.Now() - aDigest.age);
   }
+  evacuations_.Confirm(aDigest.evacuations, aDigest.evacuationsHash);
 }
 
 auto FleetState::Tick() -> bool
@@ -172,6 +203,8 @@
   if (removed > 0) {
     Rebuild();
   }
+  // Who is searched and watched depends on the route history.
+  changed |= history_.Tick();
   return changed || removed > 0;
 }
 
@@ -180,7 +213,11 @@
   return { routes_.version,
            targets_.revision,
            targetsHash_,
-           Age().value_or(Millis{ std::chrono::hours{ 24 } }) };
+           Age().value_or(Millis{ std::chrono::hours{ 24 } }),
+           evacuations_.Current().revision,
+           evacuations_.Digest(),
+           history_.Hash(),
+           history_.IsComplete() };
 }
 
 auto FleetState::Age() const -> std::optional<Millis>
@@ -217,6 +254,45 @@
   return found == byService_.end() ? kNone : found->second;
 }
 
+auto FleetState::LimitsOf(ServiceId aService) const -> const ServiceLimits*
+{
+  const auto found =
+    std::ranges::find(routes_.limits, aService, &ServiceLimits::service);
+  return found == routes_.limits.end() ? nullptr : &*found;
+}
+
+auto FleetState::ServicesHolding(const RelayRoute& aRoute) const
+  -> std::vector<ServiceId>
+{
+  auto services = history_.FormerServices(aRoute.address);
+  std::erase_if(services,
+                [&aRoute](auto aService) { return aRoute.Allows(aService); });
+  for (const auto& entry : aRoute.services) {
+    services.push_back(entry.service);
+  }
+  return services;
+}
+
+auto FleetState::MayHold(const RelayRoute& aRoute, ServiceId aService) const
+  -> bool
+{
+  const auto services = ServicesHolding(aRoute);
+  return std::ranges::find(services, aService) != services.end();
+}
+
+auto FleetState::ServicesSharingRoutes(ServiceId aService) const
+  -> std::unordered_set<ServiceId, KeyHash>
+{
+  std::unordered_set<ServiceId, KeyHash> sharing{ aService };
+  for (const auto& route : routes_.routes) {
+    const auto named = ServicesHolding(route);
+    if (std::ranges::find(named, aService) != named.end()) {
+      sharing.insert(named.begin(), named.end());
+    }
+  }
+  return sharing;
+}
+
 auto FleetState::Rebuild() -> void
 {
   // If an address was registered more than once, the latest start wins: the
@@ -227,6 +303,9 @@
     }
     return aLeft.standing < aRight.standing;
   });
+  for (auto& known : known_) {
+    MarkEvacuated(known);
+  }
   byAgent_.clear();
   byService_.clear();
   for (std::size_t i = 0; i < known_.size(); ++i) {
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -1,13 +1,17 @@
 #pragma once
 
-// A relay's copy of the routes and registered backend servers, and its age.
+// A relay's copy of the routes, registered backend servers and evacuations, and
+// its age.
 
 #include "core/clock.h"
 #include "core/types.h"
+#include "relay/evacuations.h"
+#include "relay/route_history.h"
 
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace damaskwalk {
@@ -42,12 +46,21 @@
   auto ServiceOf(const FlowKey& aFlow) const -> ServiceId;
 };
 
+// What a service's backend servers can take just after their start.
+struct ServiceLimits
+{
+  ServiceId service;
+  Millis coldStart{ 0 };         // time for which a server is cold
+  double coldFlowsPerSecond = 0; // new flows of a cold server; 0: no limit
+};
+
 // One accepted configuration.
 struct RouteTable
 {
   DocumentVersion version = 0;
   Millis idleTimeout{ 0 };
   std::vector<RelayRoute> routes;
+  std::vector<ServiceLimits> limits; // of services that state any
 };
 
 enum class TargetState : std::uint8_t
@@ -90,12 +103,27 @@
   std::uint64_t targets = 0; // revision at which the targets were read
   std::uint64_t targetsHash = 0;
   Millis age{ 0 }; // since a process read the targets from the store
-
-  // True when the other process lacks newer routes or targets.
+  // Evacuations and route history. Earlier releases do not send these; then all
+  // are 0.
+  std::uint64_t evacuations = 0; // revision at which they were read
+  // 0: no domain is evacuated, and no peer says otherwise.
+  std::uint64_t evacuationsHash = 0;
+  std::uint64_t historyHash = 0; // 0: no former services
+  bool historyComplete = false;
+
+  // True when the other process lacks newer routes, targets or evacuations.
   auto IsNewerThan(const StateDigest& aOther) const -> bool
   {
     return routes > aOther.routes ||
-           (targets > aOther.targets && targetsHash != aOther.targetsHash);
+           (targets > aOther.targets && targetsHash != aOther.targetsHash) ||
+           (evacuations > aOther.evacuations &&
+            evacuationsHash != aOther.evacuationsHash);
+  }
+  // True when the other process may lack former services of routes.
+  auto HasOtherHistoryThan(const StateDigest& aOther) const -> bool
+  {
+    return (historyHash != 0 && historyHash != aOther.historyHash) ||
+           (historyComplete && !aOther.historyComplete);
   }
 };
 
@@ -116,11 +144,13 @@
 {
   RelayTarget target;
   TargetStanding standing = TargetStanding::Open;
-  TimePoint since;     // last change of the standing or the registration
-  TimePoint coldUntil; // end of the slow phase after its start
+  TimePoint since;        // last change of the standing or the registration
+  TimePoint coldUntil;    // end of the slow phase after its start
+  bool evacuated = false; // its failure domain is evacuated
 };
 
-// The newest routes and targets; older versions are ignored. Single threaded.
+// The newest routes, targets and evacuations; older versions are ignored.
+// Single threaded.
 class FleetState
 {
 public:
@@ -128,10 +158,15 @@
 
   // @return true if the table replaced an older one.
   auto UpdateRoutes(RouteTable aTable) -> bool;
+  // Backend servers of a domain whose evacuation ends count as cold.
+  auto UpdateEvacuations(EvacuationSet aSet) -> EvacuationChange;
+  auto History() -> RouteHistory& { return history_; }
+  auto History() const -> const RouteHistory& { return history_; }
   // @param aReadAge time since this set was read from the store.
   // @return true if a target or its standing changed.
   auto UpdateTargets(const TargetSet& aSet, Millis aReadAge) -> bool;
-  // Takes over the revision and read time of a peer with the same targets.
+  // Takes over the revisions and the read time of a peer with the same targets
+  // or evacuations.
   auto Confirm(const StateDigest& aDigest) -> void;
   // Marks vanished targets as gone after the grace period, and removes targets
   // that have been gone for the retention time.
@@ -145,6 +180,10 @@
   auto Age() const -> std::optional<Millis>;
   auto Routes() const -> const RouteTable& { return routes_; }
   auto Targets() const -> const TargetSet& { return targets_; }
+  auto CurrentEvacuations() const -> const EvacuationSet&
+  {
+    return evacuations_.Current();
+  }
   // The configured idle timeout of flows, or the default if there is none.
   auto IdleTimeout() const -> Millis;
   auto FindRoute(const Endpoint& aAddress) const -> const RelayRoute*;
@@ -156,15 +195,32 @@
   // Indices into KnownTargets of the targets of a service.
   auto TargetsOfService(ServiceId aService) const
     -> const std::vector<std::size_t>&;
+  // Nothing: the configuration states no limits of the service.
+  auto LimitsOf(ServiceId aService) const -> const ServiceLimits*;
+
+  // The services whose backend servers may hold flows of the route: those that
+  // it names or named within the lifetime of a flow.
+  auto ServicesHolding(const RelayRoute& aRoute) const
+    -> std::vector<ServiceId>;
+  auto MayHold(const RelayRoute& aRoute, ServiceId aService) const -> bool;
+  // False while ServicesHolding may leave a service out. A flow that is not
+  // found may then still live.
+  auto KnowsServicesHolding() const -> bool { return history_.IsSettled(); }
+  // The services that share a route with the given one, itself included.
+  auto ServicesSharingRoutes(ServiceId aService) const
+    -> std::unordered_set<ServiceId, KeyHash>;
 
 private:
   auto Rebuild() -> void;
+  auto MarkEvacuated(KnownTarget& aKnown) const -> void;
 
   const Clock& clock_;
   bool hasRoutes_ = false;
   bool hasTargets_ = false;
   RouteTable routes_;
   TargetSet targets_;
+  Evacuations evacuations_;
+  RouteHistory history_;
   std::uint64_t targetsHash_ = 0;
   TimePoint confirmedAt_;
   std::vector<KnownTarget> known_;
--- a/src/relay/flow_queries.cpp
+++ b/src/relay/flow_queries.cpp
@@ -40,8 +40,8 @@
 auto FlowQueries::Covers(const RelayRoute& aRoute) const -> bool
 {
   std::size_t agents = 0;
-  for (const auto& entry : aRoute.services) {
-    agents += state_.TargetsOfService(entry.service).size();
+  for (const auto service : state_.ServicesHolding(aRoute)) {
+    agents += state_.TargetsOfService(service).size();
   }
   return agents > kMaxWalkedAgents;
 }
@@ -66,8 +66,8 @@
   -> std::vector<const KnownTarget*>
 {
   std::vector<const KnownTarget*> missing;
-  for (const auto& entry : aRoute.services) {
-    for (const auto index : state_.TargetsOfService(entry.service)) {
+  for (const auto service : state_.ServicesHolding(aRoute)) {
+    for (const auto index : state_.TargetsOfService(service)) {
       const auto& known = state_.KnownTargets()[index];
       if (!aQuery.certain.contains(known.target.agent.ip) &&
           MustAnswer(known, peers_, aQuery.rounds)) {
@@ -149,7 +149,8 @@
 auto FlowQueries::Conclude(Table::iterator aQuery) -> bool
 {
   const auto* route = state_.FindRoute(aQuery->first.address);
-  if (route && !Missing(aQuery->second, *route).empty()) {
+  if (route && (!state_.KnowsServicesHolding() ||
+                !Missing(aQuery->second, *route).empty())) {
     return false;
   }
   if (route) {
--- a/src/relay/heartbeat_plan.cpp
+++ b/src/relay/heartbeat_plan.cpp
@@ -54,10 +54,13 @@
 
 auto HeartbeatPlan::UpdateFullMesh(const FleetState& aState) -> void
 {
+  // Searches for a flow visit the agents of every service that its route names
+  // or named.
+  const auto services = aState.ServicesSharingRoutes(init_.service);
   for (const auto& known : aState.KnownTargets()) {
     const auto& target = known.target;
     const bool concerns =
-      init_.role == RelayRole::Balancer || target.service == init_.service;
+      init_.role == RelayRole::Balancer || services.contains(target.service);
     if (concerns && target.agent.ip != init_.self) {
       near_.push_back(target.agent.ip);
     }
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -99,6 +99,14 @@
 constexpr Millis kFinishedFlowRetention{ 4000 };
 // Added to the configured idle timeout before an entry is dropped.
 constexpr Millis kIdleTimeoutMargin{ 2000 };
+// Callers close a flow after this time at the latest, if the settings state no
+// other.
+constexpr Millis kDefaultMaxFlowLifetime{ 60000 };
+// A process that starts waits this long for a peer that knows which services
+// routes named before, until it calls a flow lost.
+constexpr Millis kHistorySettleTime{ 60 };
+// Shortest time between two pulls of a peer's route history.
+constexpr Millis kHistoryPullPeriod{ 1000 };
 // Idle timeout until a configuration states one.
 constexpr Millis kDefaultIdleTimeout{ 15000 };
 // Agents repeat the registration of long flows, so that a restarted directory
--- a/src/relay/peer_exchange.cpp
+++ b/src/relay/peer_exchange.cpp
@@ -68,6 +68,23 @@
   }
   if (!aHeartbeat.stopping && aHeartbeat.digest.IsNewerThan(state_.Digest())) {
     OnNewerState(aIp, isNear || isAnnouncement);
+  } else if (!aHeartbeat.stopping && isNear) {
+    PullHistory(aIp, aHeartbeat.digest);
+  }
+}
+
+auto PeerExchange::PullHistory(std::uint32_t aIp, const StateDigest& aDigest)
+  -> void
+{
+  const auto now = clock_.Now();
+  const auto own = state_.Digest();
+  if (aDigest.historyComplete) {
+    state_.History().OnCompletePeer();
+  }
+  if (aDigest.routes == own.routes && aDigest.HasOtherHistoryThan(own) &&
+      now >= nextHistoryPull_) {
+    nextHistoryPull_ = now + kHistoryPullPeriod;
+    host_.PullState(aIp);
   }
 }
 
@@ -100,6 +117,7 @@
 {
   plan_.Update(state_);
   peers_.SetFar(plan_.Far(), plan_.FarDomains());
+  peers_.SetWatched(plan_.Near());
   behindSince_.reset();
 }
 
--- a/src/relay/peer_exchange.h
+++ b/src/relay/peer_exchange.h
@@ -71,6 +71,8 @@
   // Tells the near peers of state that came from another domain.
   auto PassOnState(RelayPort& aPort) -> void;
   auto OnNewerState(std::uint32_t aIp, bool aAnnounced) -> void;
+  // Fetches the route history of a peer that may know more former services.
+  auto PullHistory(std::uint32_t aIp, const StateDigest& aDigest) -> void;
   // True in a full mesh, and for peers that exchange periodic heartbeats with
   // this process.
   auto IsNear(std::uint32_t aIp) const -> bool;
@@ -88,6 +90,7 @@
   TimePoint nextHeartbeat_;
   TimePoint nextReport_;
   TimePoint passedOnAt_;
+  TimePoint nextHistoryPull_;
   // Since when a far peer is known to have newer state; nothing: none has.
   std::optional<TimePoint> behindSince_;
 };
--- a/src/relay/peer_messages.cpp
+++ b/src/relay/peer_messages.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t kMaxRoutes = 65536;
 constexpr std::size_t kMaxTargets = 65536;
 constexpr std::size_t kMaxServicesPerRoute = 64;
+constexpr std::size_t kMaxEvacuatedDomains = 256;
+constexpr std::size_t kMaxServiceLimits = 65536;
+constexpr std::size_t kMaxFormerServices = 65536;
 
 } // namespace
 
@@ -183,6 +186,94 @@
   }
 }
 
+template<class Archive>
+auto serialize(Archive& aArchive, EvacuationSet& aValue) -> void
+{
+  std::vector<NameEntry> names;
+  for (auto& domain : aValue.domains) {
+    names.push_back({ std::move(domain) });
+  }
+  auto domains = Bounded<kMaxEvacuatedDomains>(names);
+  aArchive(aValue.revision, domains);
+  aValue.domains.clear();
+  for (auto& entry : names) {
+    aValue.domains.push_back(std::move(entry.name));
+  }
+}
+
+template<class Archive>
+auto serialize(Archive& aArchive, ServiceLimits& aValue) -> void
+{
+  aArchive(aValue.service);
+  serialize(aArchive, aValue.coldStart);
+  aArchive(aValue.coldFlowsPerSecond);
+}
+
+template<class Archive>
+auto serialize(Archive& aArchive, std::vector<ServiceLimits>& aValue) -> void
+{
+  auto limits = Bounded<kMaxServiceLimits>(aValue);
+  aArchive(limits);
+}
+
+template<class Archive>
+auto serialize(Archive& aArchive, FormerService& aValue) -> void
+{
+  aArchive(aValue.address, aValue.service);
+  serialize(aArchive, aValue.age);
+}
+
+template<class Archive>
+auto serialize(Archive& aArchive, RouteHistoryReport& aValue) -> void
+{
+  auto former = Bounded<kMaxFormerServices>(aValue.former);
+  aArchive(aValue.complete, former);
+}
+
+// The digest's fields that earlier releases do not have: one byte of flags and
+// the fields that they announce, as heartbeats are many and most have none.
+struct LaterDigest
+{
+  StateDigest& digest;
+};
+
+enum LaterDigestFlags : std::uint8_t
+{
+  HistoryComplete = 1,
+  HasHistory = 2,
+  HasEvacuations = 4,
+};
+
+auto save(OutArchive& aArchive, const LaterDigest& aValue) -> void
+{
+  const auto& digest = aValue.digest;
+  const auto flags = static_cast<std::uint8_t>(
+    (digest.historyComplete ? HistoryComplete : 0) |
+    (digest.historyHash != 0 ? HasHistory : 0) |
+    (digest.evacuationsHash != 0 ? HasEvacuations : 0));
+  aArchive(flags);
+  if (flags & HasHistory) {
+    aArchive(digest.historyHash);
+  }
+  if (flags & HasEvacuations) {
+    aArchive(digest.evacuations, digest.evacuationsHash);
+  }
+}
+
+auto load(InArchive& aArchive, LaterDigest& aValue) -> void
+{
+  auto& digest = aValue.digest;
+  std::uint8_t flags = 0;
+  aArchive(flags);
+  if (flags & HasHistory) {
+    aArchive(digest.historyHash);
+  }
+  if (flags & HasEvacuations) {
+    aArchive(digest.evacuations, digest.evacuationsHash);
+  }
+  digest.historyComplete = flags & HistoryComplete;
+}
+
 template<class Archive>
 auto serialize(Archive& aArchive, StateRequest& aValue) -> void
 {
@@ -211,6 +302,7 @@
   return bytes;
 }
 
+// @param aBody reads the message; returns false if its kind is unknown.
 template<class Body>
 auto Decode(std::string_view aBytes, Body aBody) -> leaf::result<void>
 {
@@ -223,7 +315,7 @@
     if (layout != kLayoutVersion) {
       return leaf::new_error(WireError::UnknownVersion);
     }
-    if (!aBody(archive)) {
+    if (!aBody(archive, buffer)) {
       return leaf::new_error(WireError::UnknownKind);
     }
   } catch (const std::exception&) {
@@ -233,10 +325,11 @@
   return {};
 }
 
-// Decodes a message and, if bytes follow, the fields that a later release
-// appended to it. Fields that are cut count as absent.
-template<class Body, class Appended>
-auto DecodeAppended(std::string_view aBytes, Body aBody, Appended aAppended)
+// Decodes a message and, while bytes follow, the groups of fields that later
+// releases appended to it. A group that is cut counts as absent, and so do
+// those after it.
+template<class Body, class... Appended>
+auto DecodeAppended(std::string_view aBytes, Body aBody, Appended... aAppended)
   -> leaf::result<void>
 {
   bool hasBody = false;
@@ -251,9 +344,12 @@
     }
     aBody(archive);
     hasBody = true;
-    if (buffer.Remaining() > 0) {
-      aAppended(archive);
-    }
+    const auto readNext = [&](auto& aGroup) {
+      if (buffer.Remaining() > 0) {
+        aGroup(archive);
+      }
+    };
+    (readNext(aAppended), ...);
   } catch (const std::exception&) {
     if (!hasBody) {
       return leaf::new_error(WireError::Truncated);
@@ -262,6 +358,33 @@
   return {};
 }
 
+// Bytes that are too few for the fields count as a release without them.
+auto ReadLaterDigest(InArchive& aArchive,
+                     const MemoryBuffer& aBuffer,
+                     StateDigest& aDigest) -> void
+{
+  auto digest = aDigest;
+  LaterDigest later{ digest };
+  try {
+    if (aBuffer.Remaining() > 0) {
+      aArchive(later);
+      aDigest = digest;
+    }
+  } catch (const cereal::Exception&) {
+    return;
+  }
+}
+
+// Reads a list of at most one entry.
+template<class Entry>
+auto ReadSingle(InArchive& aArchive, std::vector<Entry>& aList) -> void
+{
+  std::vector<Entry> read;
+  auto list = Bounded<1>(read);
+  aArchive(list);
+  aList = std::move(read);
+}
+
 auto UnpackInto(StateReply& aReply) -> leaf::result<void>
 {
   const auto bytes = Unpack(aReply.packed);
@@ -269,7 +392,7 @@
   if (!bytes) {
     return leaf::new_error(WireError::Malformed);
   }
-  return Decode(*bytes, [&aReply](InArchive& aArchive) {
+  return Decode(*bytes, [&aReply](InArchive& aArchive, const MemoryBuffer&) {
     auto routes = Bounded<1>(aReply.routes);
     auto targets = Bounded<1>(aReply.targets);
     aArchive(routes, targets);
@@ -307,6 +430,10 @@
 auto EncodePeerMessage(const PeerMessage& aMessage) -> std::string
 {
   const auto kind = static_cast<std::uint8_t>(aMessage.body.index());
+  if (const auto* heartbeat = std::get_if<RelayHeartbeat>(&aMessage.body)) {
+    auto digest = heartbeat->digest;
+    return Encode(kind, *heartbeat, LaterDigest{ digest });
+  }
   return std::visit([kind](const auto& aBody) { return Encode(kind, aBody); },
                     aMessage.body);
 }
@@ -314,55 +441,65 @@
 auto DecodePeerMessage(std::string_view aBytes) -> leaf::result<PeerMessage>
 {
   PeerMessage message;
-  BOOST_LEAF_CHECK(Decode(aBytes, [&message](InArchive& aArchive) {
-    std::uint8_t kind = 0;
-    aArchive(kind);
-    switch (kind) {
-      case 0: {
-        RelayHeartbeat heartbeat;
-        aArchive(heartbeat);
-        message.body = std::move(heartbeat);
-        return std::get<RelayHeartbeat>(message.body).role <= RelayRole::Agent;
-      }
-      case 1: {
-        FlowLocation location;
-        aArchive(location);
-        message.body = location;
-        return true;
-      }
-      case 2: {
-        FlowRegistration registration;
-        aArchive(registration);
-        message.body = std::move(registration);
-        return true;
-      }
-      case 3: {
-        DomainReport report;
-        aArchive(report);
-        message.body = std::move(report);
-        return true;
+  BOOST_LEAF_CHECK(Decode(
+    aBytes, [&message](InArchive& aArchive, const MemoryBuffer& aBuffer) {
+      std::uint8_t kind = 0;
+      aArchive(kind);
+      switch (kind) {
+        case 0: {
+          RelayHeartbeat heartbeat;
+          aArchive(heartbeat);
+          ReadLaterDigest(aArchive, aBuffer, heartbeat.digest);
+          message.body = std::move(heartbeat);
+          return std::get<RelayHeartbeat>(message.body).role <=
+                 RelayRole::Agent;
+        }
+        case 1: {
+          FlowLocation location;
+          aArchive(location);
+          message.body = location;
+          return true;
+        }
+        case 2: {
+          FlowRegistration registration;
+          aArchive(registration);
+          message.body = std::move(registration);
+          return true;
+        }
+        case 3: {
+          DomainReport report;
+          aArchive(report);
+          message.body = std::move(report);
+          return true;
+        }
+        case 4: {
+          FlowQuery query;
+          aArchive(query);
+          message.body = std::move(query);
+          return true;
+        }
+        case 5: {
+          FlowAnswer answer;
+          aArchive(answer);
+          message.body = std::move(answer);
+          return true;
+        }
+        default:
+          return false;
       }
-      case 4: {
-        FlowQuery query;
-        aArchive(query);
-        message.body = std::move(query);
-        return true;
-      }
-      case 5: {
-        FlowAnswer answer;
-        aArchive(answer);
-        message.body = std::move(answer);
-        return true;
-      }
-      default:
-        return false;
-    }
-  }));
+    }));
   return message;
 }
 
 auto EncodeStateRequest(const StateRequest& aRequest) -> std::string
 {
+  if (aRequest.acceptsOperations) {
+    auto have = aRequest.have;
+    return Encode(aRequest,
+                  aRequest.acceptsCompact,
+                  aRequest.acceptsOperations,
+                  LaterDigest{ have });
+  }
   return aRequest.acceptsCompact ? Encode(aRequest, aRequest.acceptsCompact)
                                  : Encode(aRequest);
 }
@@ -373,19 +510,37 @@
   BOOST_LEAF_CHECK(DecodeAppended(
     aBytes,
     [&request](InArchive& aArchive) { aArchive(request); },
-    [&request](InArchive& aArchive) { aArchive(request.acceptsCompact); }));
+    [&request](InArchive& aArchive) { aArchive(request.acceptsCompact); },
+    [&request](InArchive& aArchive) {
+      auto have = request.have;
+      LaterDigest later{ have };
+      bool accepts = false;
+      aArchive(accepts, later);
+      request.have = have;
+      request.acceptsOperations = accepts;
+    }));
   return request;
 }
 
 auto EncodeStateReply(const StateReply& aReply) -> std::string
 {
   // Earlier releases, which ask for nothing compact, refuse bytes at the end.
-  if (aReply.deltas.empty() && aReply.packed.empty()) {
+  const bool hasOperations = !aReply.evacuations.empty() ||
+                             !aReply.limits.empty() || !aReply.history.empty();
+  if (aReply.deltas.empty() && aReply.packed.empty() && !hasOperations) {
     return Encode(aReply);
   }
   auto reply = aReply;
-  return Encode(
-    reply, Bounded<1>(reply.deltas), Bounded<kMaxPackedBytes>(reply.packed));
+  const auto compact = [&reply](auto... aLater) {
+    return Encode(reply,
+                  Bounded<1>(reply.deltas),
+                  Bounded<kMaxPackedBytes>(reply.packed),
+                  aLater...);
+  };
+  return hasOperations ? compact(Bounded<1>(reply.evacuations),
+                                 Bounded<1>(reply.limits),
+                                 Bounded<1>(reply.history))
+                       : compact();
 }
 
 auto PackState(const std::vector<RouteTable>& aRoutes,
@@ -407,6 +562,11 @@
       aArchive(deltas);
       auto packed = Bounded<kMaxPackedBytes>(reply.packed);
       aArchive(packed);
+    },
+    [&reply](InArchive& aArchive) {
+      ReadSingle(aArchive, reply.evacuations);
+      ReadSingle(aArchive, reply.limits);
+      ReadSingle(aArchive, reply.history);
     }));
   if (!reply.packed.empty()) {
     BOOST_LEAF_CHECK(UnpackInto(reply));
--- a/src/relay/peer_messages.h
+++ b/src/relay/peer_messages.h
@@ -111,13 +111,16 @@
     body;
 };
 
-// Over TCP: requests the routes and targets that the sender lacks.
+// Over TCP: requests the state that the sender lacks.
 struct StateRequest
 {
   StateDigest have;
   // The requester reads deltas and packed state. Appended; absent in earlier
   // releases.
   bool acceptsCompact = false;
+  // The requester reads evacuations, limits and the route history. Appended
+  // with the later fields of the digest; absent in earlier releases.
+  bool acceptsOperations = false;
 };
 
 struct StateReply
@@ -131,6 +134,11 @@
   // the latter.
   std::vector<TargetDelta> deltas;
   std::string packed;
+  // For requesters that accept them. One entry if newer than the requester's,
+  // else none; the limits go with the routes.
+  std::vector<EvacuationSet> evacuations;
+  std::vector<std::vector<ServiceLimits>> limits;
+  std::vector<RouteHistoryReport> history;
 };
 
 auto EncodePeerMessage(const PeerMessage& aMessage) -> std::string;
--- a/src/relay/peer_table.cpp
+++ b/src/relay/peer_table.cpp
@@ -103,9 +103,27 @@
     return expected != expected_.end() &&
            now - expected->second > kMaxMissedHeartbeats * period_;
   }
-  return peer->stopped ||
-         now - peer->lastHeartbeatAt > kMaxMissedHeartbeats * period_ ||
-         LeavesFlowsUnanswered(*peer, now);
+  const bool missed = IsWatched(aIp) && now - peer->lastHeartbeatAt >
+                                          kMaxMissedHeartbeats * period_;
+  return peer->stopped || missed || LeavesFlowsUnanswered(*peer, now);
+}
+
+auto PeerTable::IsWatched(std::uint32_t aIp) const -> bool
+{
+  return !watched_ || watched_->contains(aIp);
+}
+
+auto PeerTable::SetWatched(const std::vector<std::uint32_t>& aAgents) -> void
+{
+  std::unordered_set<std::uint32_t> watched(aAgents.begin(), aAgents.end());
+  for (const auto ip : watched) {
+    const auto found = peers_.find(ip);
+    if (found != peers_.end() && !IsWatched(ip)) {
+      // Its periodic heartbeats begin now.
+      found->second.lastHeartbeatAt = clock_.Now();
+    }
+  }
+  watched_ = std::move(watched);
 }
 
 auto PeerTable::IsFarSilent(std::uint32_t aIp) const -> bool
--- a/src/relay/peer_table.h
+++ b/src/relay/peer_table.h
@@ -8,6 +8,7 @@
 #include "relay/domain_reports.h"
 #include "relay/peer_messages.h"
 
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -49,6 +50,9 @@
               const std::map<DomainId, std::vector<std::uint32_t>>& aDomains)
     -> void;
   auto IsFar(std::uint32_t aIp) const -> bool { return far_.contains(aIp); }
+  // Sets the near agents that send periodic heartbeats to this process. Others
+  // are not silent because none arrive. Until the first call all are expected.
+  auto SetWatched(const std::vector<std::uint32_t>& aAgents) -> void;
   // Far agents that have not reported their load after a first packet.
   auto UnansweringFar() const -> std::vector<std::uint32_t>;
   auto Reports() -> DomainReports& { return reports_; }
@@ -57,8 +61,9 @@
   // with others. Always true for near ones.
   auto HasComparableLoad(std::uint32_t aIp) const -> bool;
   // True if the peer has stopped, has not reported its load after a first
-  // packet, which agents do at once, or has missed several heartbeats since it
-  // was expected or last heard; a far agent, if its domain reports so.
+  // packet, which agents do at once, or is watched and has missed several
+  // heartbeats since it was expected or last heard; a far agent, if its domain
+  // reports so.
   auto IsSilent(std::uint32_t aIp) const -> bool;
   // The peer has stopped, and its backend server holds no flow.
   auto HasStoppedWithoutFlows(std::uint32_t aIp) const -> bool;
@@ -78,10 +83,12 @@
 
 private:
   auto IsFarSilent(std::uint32_t aIp) const -> bool;
+  auto IsWatched(std::uint32_t aIp) const -> bool;
 
   const Clock& clock_;
   DomainReports reports_;
   std::unordered_set<std::uint32_t> far_;
+  std::optional<std::unordered_set<std::uint32_t>> watched_;
   Millis period_;
   std::unordered_map<std::uint32_t, PeerRecord> peers_;
   // Peers that have sent no heartbeat, with the time from which they are
--- a/src/relay/search_order.cpp
+++ b/src/relay/search_order.cpp
@@ -30,8 +30,8 @@
     return aLeft.heard != aRight.heard ? aLeft.heard
                                        : aLeft.weight > aRight.weight;
   };
-  for (const auto& entry : aRoute.services) {
-    for (const auto index : state_.TargetsOfService(entry.service)) {
+  for (const auto service : state_.ServicesHolding(aRoute)) {
+    for (const auto index : state_.TargetsOfService(service)) {
       const auto& known = state_.KnownTargets()[index];
       if (known.standing == TargetStanding::Gone) {
         continue;
@@ -66,8 +66,8 @@
   SearchStep step;
   std::uint64_t highestWeight = 0;
   std::uint64_t highestSilentWeight = 0;
-  for (const auto& entry : aRoute.services) {
-    for (const auto index : state_.TargetsOfService(entry.service)) {
+  for (const auto service : state_.ServicesHolding(aRoute)) {
+    for (const auto index : state_.TargetsOfService(service)) {
       const auto& known = state_.KnownTargets()[index];
       const auto& agent = known.target.agent;
       const auto weight = RendezvousWeight(key, agent);
@@ -84,7 +84,8 @@
       }
     }
   }
-  step.skippedSilent = highestSilentWeight > highestWeight;
+  step.skippedSilent =
+    highestSilentWeight > highestWeight || !state_.KnowsServicesHolding();
   return step;
 }
 
@@ -142,8 +143,8 @@
   const bool answering =
     !peer || !peer->hasLoad ||
     (peer->load.acceptsFlows && !peer->load.draining && !peer->load.failing);
-  return aKnown.standing == TargetStanding::Open && answering &&
-         !peers_.IsSilent(ip);
+  return aKnown.standing == TargetStanding::Open && !aKnown.evacuated &&
+         answering && !peers_.IsSilent(ip);
 }
 
 auto SearchOrder::IsSilent(const KnownTarget& aKnown) const -> bool
@@ -167,7 +168,7 @@
   std::size_t healthy = 0;
   for (const auto index : state_.TargetsOfService(aService)) {
     const auto& known = state_.KnownTargets()[index];
-    open += known.standing == TargetStanding::Open ? 1 : 0;
+    open += known.standing == TargetStanding::Open && !known.evacuated ? 1 : 0;
     healthy += AcceptsNewFlows(known) ? 1 : 0;
   }
   return double(healthy) < kMinHealthyShare * double(open);
@@ -178,8 +179,8 @@
   constexpr std::size_t kMaxNamedAgents = 3;
   std::string names;
   std::size_t count = 0;
-  for (const auto& entry : aRoute.services) {
-    for (const auto index : state_.TargetsOfService(entry.service)) {
+  for (const auto service : state_.ServicesHolding(aRoute)) {
+    for (const auto index : state_.TargetsOfService(service)) {
       const auto& known = state_.KnownTargets()[index];
       const auto& agent = known.target.agent;
       if (!MayHoldFlows(known) || !peers_.IsSilent(agent.ip) ||
@@ -197,8 +198,8 @@
 {
   constexpr std::uint64_t kViewMask = 0x1F;
   std::uint64_t sum = 0;
-  for (const auto& entry : aRoute.services) {
-    for (const auto index : state_.TargetsOfService(entry.service)) {
+  for (const auto service : state_.ServicesHolding(aRoute)) {
+    for (const auto index : state_.TargetsOfService(service)) {
       const auto& known = state_.KnownTargets()[index];
       if (known.standing != TargetStanding::Gone) {
         sum += Mix(HashOf(known.target.agent), 17);
--- a/src/relay/state_transfer.cpp
+++ b/src/relay/state_transfer.cpp
@@ -17,7 +17,7 @@
 
 auto StateTransfer::MakeRequest() const -> StateRequest
 {
-  StateRequest request{ state_.Digest(), true };
+  StateRequest request{ state_.Digest(), true, true };
   if (wantsWhole_) {
     request.have.targets = 0;
     request.have.targetsHash = 0;
@@ -40,29 +40,49 @@
   if (reply.digest.routes > aRequest.have.routes) {
     reply.routes.push_back(state_.Routes());
   }
-  const bool hasNewerTargets =
-    reply.digest.targets > aRequest.have.targets &&
-    reply.digest.targetsHash != aRequest.have.targetsHash;
-  if (!hasNewerTargets) {
-    if (aRequest.acceptsCompact) {
-      PackReply(reply);
-    }
-    return reply;
+  if (reply.digest.targets > aRequest.have.targets &&
+      reply.digest.targetsHash != aRequest.have.targetsHash) {
+    AddTargets(aRequest, reply);
+  }
+  if (aRequest.acceptsOperations) {
+    AddOperations(aRequest, reply);
+  }
+  if (aRequest.acceptsCompact) {
+    PackReply(reply);
   }
+  return reply;
+}
+
+auto StateTransfer::AddTargets(const StateRequest& aRequest, StateReply& aReply)
+  -> void
+{
   auto delta = aRequest.acceptsCompact ? log_.Since(aRequest.have.targetsHash)
                                        : std::nullopt;
   if (delta) {
     ++counts_.deltasSent;
-    delta->revision = reply.digest.targets;
-    reply.deltas.push_back(std::move(*delta));
+    delta->revision = aReply.digest.targets;
+    aReply.deltas.push_back(std::move(*delta));
   } else {
     ++counts_.wholeSent;
-    reply.targets.push_back(state_.Targets());
+    aReply.targets.push_back(state_.Targets());
   }
-  if (aRequest.acceptsCompact) {
-    PackReply(reply);
+}
+
+auto StateTransfer::AddOperations(const StateRequest& aRequest,
+                                  StateReply& aReply) const -> void
+{
+  const auto& digest = aReply.digest;
+  const auto& have = aRequest.have;
+  if (digest.evacuations > have.evacuations &&
+      digest.evacuationsHash != have.evacuationsHash) {
+    aReply.evacuations.push_back(state_.CurrentEvacuations());
+  }
+  if (!aReply.routes.empty()) {
+    aReply.limits.push_back(state_.Routes().limits);
+  }
+  if (!aReply.routes.empty() || digest.HasOtherHistoryThan(have)) {
+    aReply.history.push_back(state_.History().Report());
   }
-  return reply;
 }
 
 auto StateTransfer::PackReply(StateReply& aReply) -> void
@@ -92,9 +112,18 @@
 auto StateTransfer::Apply(StateReply aReply, Millis aTook) -> bool
 {
   bool changed = false;
+  for (const auto& history : aReply.history) {
+    changed |= state_.History().Merge(history, aTook);
+  }
   for (auto& table : aReply.routes) {
+    if (!aReply.limits.empty()) {
+      table.limits = aReply.limits.front();
+    }
     changed |= state_.UpdateRoutes(std::move(table));
   }
+  for (auto& set : aReply.evacuations) {
+    changed |= !state_.UpdateEvacuations(std::move(set)).IsEmpty();
+  }
   const auto age = aReply.digest.age + aTook;
   for (auto& set : aReply.targets) {
     wantsWhole_ = false;
--- a/src/relay/state_transfer.h
+++ b/src/relay/state_transfer.h
@@ -27,13 +27,16 @@
   auto MakeRequest() const -> StateRequest;
   auto MakeReply(const StateRequest& aRequest) -> StateReply;
   // @param aTook time since the request was sent.
-  // @return true if routes or targets changed.
+  // @return true if routes, their history, targets or evacuations changed.
   auto Apply(StateReply aReply, Millis aTook) -> bool;
   // Targets changed.
   auto OnTargetsChanged() -> void;
   auto Counts() const -> const TransferCounts& { return counts_; }
 
 private:
+  auto AddTargets(const StateRequest& aRequest, StateReply& aReply) -> void;
+  auto AddOperations(const StateRequest& aRequest, StateReply& aReply) const
+    -> void;
   // Moves the whole routes and targets of a reply to its packed part.
   auto PackReply(StateReply& aReply) -> void;
 
--- a/src/relay_node/relay_process.cpp
+++ b/src/relay_node/relay_process.cpp
@@ -80,6 +80,10 @@
   , nextTrafficLog_(aInit.clock.Now() + kTrafficLogPeriod)
 {
   exchange_.SetSeeds(settings_.seeds);
+  state_.History().SetMaxFlowLifetime(settings_.maxFlowLifetime);
+  if (settings_.firstStart) {
+    state_.History().SetComplete();
+  }
   if (settings_.role == RelayRole::Balancer) {
     const PlacementInit placement{ settings_.failureDomain,
                                    std::random_device{}() };
--- a/src/relay_node/relay_process.h
+++ b/src/relay_node/relay_process.h
@@ -5,6 +5,7 @@
 
 #include "relay/agent_relay.h"
 #include "relay/balancer_relay.h"
+#include "relay/limits.h"
 #include "relay/peer_exchange.h"
 #include "relay/pull_schedule.h"
 #include "relay/read_schedule.h"
@@ -44,6 +45,8 @@
   bool firstStart = false;
   // Longest time of a graceful stop.
   Millis stopTimeout{ 5000 };
+  // Callers close a flow after this time at the latest.
+  Millis maxFlowLifetime{ kDefaultMaxFlowLifetime };
 
   // Agents only.
   std::string service;
--- a/tests/peer_exchange_test.cpp
+++ b/tests/peer_exchange_test.cpp
@@ -60,7 +60,7 @@
   {
     ++set_.revision;
     for (auto& node : nodes_) {
-      node->state.UpdateRoutes({ 1, Millis{ 0 }, {} });
+      node->state.UpdateRoutes({ 1, Millis{ 0 }, {}, {} });
       node->state.UpdateTargets(set_, Millis{ 0 });
       node->exchange->OnStateChanged();
     }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -48,7 +48,7 @@
   "listen": {"datagramAddr": "10.1.0.12:8172", "outbound": "10.1.0.12:8162",
              "ready": "10.1.0.12:8167"},
   "internalPorts": [7720, 7735], "seeds": ["10.1.0.10:8166", "nonsense"],
-  "bounds": {"graceS": 6}, "app": "10.1.0.12:8165", "service": "bookings",
+  "bounds": {"graceS": 6, "maxFlowS": 45}, "app": "10.1.0.12:8165", "service": "bookings",
   "platform": {"address": "10.200.1.7:8169"}, "unknown": {"key": 1}})";
 
 auto Without(std::string aText, const std::string& aPart) -> std::string
@@ -221,6 +221,8 @@
   auto text = kSettings;
   text.replace(text.find("\"graceS\": 6"), 11, "\"graceS\": 1e300");
   EXPECT_EQ(fieldsOf(text), "seeds bounds.graceS ");
+  text.replace(text.find("\"maxFlowS\": 45"), 14, "\"maxFlowS\": 0");
+  EXPECT_EQ(fieldsOf(text), "seeds bounds.graceS bounds.maxFlowS ");
 }
 
 TEST(StoreDecoder, SkipsUnusableEntriesOfATargetPage)
--- a/tests/relay_model.cpp
+++ b/tests/relay_model.cpp
@@ -13,6 +13,8 @@
   , services_(aServices.size())
 {
   for (std::size_t service = 0; service < aServices.size(); ++service) {
+    routes_[service] = { service };
+    everNamed_[service] = { service };
     for (std::size_t i = 0; i < aServices[service]; ++i) {
       AddTarget(service);
     }
@@ -21,6 +23,12 @@
     balancers_.push_back(
       MakeNode(kBalancerIps + static_cast<std::uint32_t>(i), std::nullopt));
   }
+  for (auto& target : targets_) {
+    target->node->state.History().SetComplete();
+  }
+  for (auto& balancer : balancers_) {
+    balancer->state.History().SetComplete();
+  }
   Publish();
   SendHeartbeats();
   RunTicks();
@@ -203,7 +211,8 @@
 {
   auto& target = *targets_[aTarget];
   const auto packet = codec_->Decode(aBytes, PacketOrigin::Caller);
-  if (packet->flow.address != AddressOf(target.service)) {
+  const auto route = packet->flow.address.ip - kAddressIp;
+  if (!everNamed_[route].contains(target.service)) {
     ++foreignPackets_;
   }
   if (!target.alive) {
--- a/tests/relay_model.h
+++ b/tests/relay_model.h
@@ -118,6 +118,10 @@
   // selects; the others keep their old view.
   auto Publish() -> void;
   auto PublishTo(std::function<bool(std::uint32_t aIp)> aSelects) -> void;
+  // Splits the route of a service's address evenly over the given services.
+  // Takes effect with the next Publish.
+  auto SetRoute(std::size_t aService, std::vector<std::size_t> aServices)
+    -> void;
   auto SetRouteTimeout(Millis aTimeout) -> void { routeTimeout_ = aTimeout; }
   auto SetIdleTimeout(Millis aTimeout) -> void { idleTimeout_ = aTimeout; }
   auto SetLoss(double aShare) -> void { loss_ = aShare; }
@@ -137,7 +141,8 @@
   auto Balancer(std::size_t aBalancer) -> BalancerRelay&;
   // Flows opened at a backend server.
   auto Opened(std::size_t aTarget) const -> std::uint32_t;
-  // Packets that reached a backend server of another service.
+  // Packets that reached a backend server of a service that their route never
+  // named.
   auto ForeignPackets() const -> std::uint32_t { return foreignPackets_; }
   auto LongestAgentPath() const -> std::uint32_t { return longestPath_; }
   auto Now() const -> TimePoint { return clock_.Now(); }
@@ -173,6 +178,8 @@
   auto RunTicks() -> void;
   auto CurrentTargets() const -> TargetSet;
   auto CurrentRoutes() const -> RouteTable;
+  // A process that starts gets the history from its peers.
+  auto TakeHistory(Node& aNode) const -> void;
 
   ManualClock clock_;
   NullEventSink sink_;
@@ -196,6 +203,11 @@
   std::vector<ModelFlow> flows_;
   std::map<FlowKey, std::size_t> byKey_;
   std::size_t services_;
+  std::uint32_t routeChanges_ = 0;
+  // By the service whose address the route has: services that it names, and
+  // those that it ever named.
+  std::map<std::size_t, std::vector<std::size_t>> routes_;
+  std::map<std::size_t, std::set<std::size_t>> everNamed_;
 };
 
 } // namespace damaskwalk
--- a/tests/relay_model_faults.cpp
+++ b/tests/relay_model_faults.cpp
@@ -10,6 +10,7 @@
   const auto state = balancers_[aBalancer]->state.Targets();
   balancers_[aBalancer] = MakeNode(ip, std::nullopt);
   balancers_[aBalancer]->state.UpdateRoutes(CurrentRoutes());
+  TakeHistory(*balancers_[aBalancer]);
   balancers_[aBalancer]->state.UpdateTargets(state, Millis{ 0 });
 }
 
@@ -19,6 +20,7 @@
   const auto state = target.node->state.Targets();
   target.node = MakeNode(target.ip, aTarget);
   target.node->state.UpdateRoutes(CurrentRoutes());
+  TakeHistory(*target.node);
   target.node->state.UpdateTargets(state, Millis{ 0 });
 }
 
@@ -118,19 +120,40 @@
 {
   RouteTable table;
   table.version =
-    static_cast<DocumentVersion>((idleTimeout_ + routeTimeout_).count());
+    static_cast<DocumentVersion>((idleTimeout_ + routeTimeout_).count()) +
+    routeChanges_;
   table.idleTimeout = idleTimeout_;
   for (std::size_t service = 0; service < services_; ++service) {
     RelayRoute route;
     route.name = "route-" + std::to_string(service);
     route.address = AddressOf(service);
     route.timeout = routeTimeout_;
-    route.services.push_back({ ServiceIdOf(ServiceName(service)), 1 });
+    for (const auto named : routes_.at(service)) {
+      route.services.push_back({ ServiceIdOf(ServiceName(named)), 1 });
+    }
     table.routes.push_back(route);
   }
   return table;
 }
 
+auto RelayModel::SetRoute(std::size_t aService,
+                          std::vector<std::size_t> aServices) -> void
+{
+  ++routeChanges_;
+  everNamed_[aService].insert(aServices.begin(), aServices.end());
+  routes_[aService] = std::move(aServices);
+}
+
+auto RelayModel::TakeHistory(Node& aNode) const -> void
+{
+  for (const auto& target : targets_) {
+    if (target->node.get() != &aNode && target->node->running) {
+      aNode.state.History().Merge(target->node->state.History().Report(),
+                                  Millis{ 0 });
+    }
+  }
+}
+
 auto RelayModel::Publish() -> void
 {
   PublishTo([](std::uint32_t) { return true; });
--- a/tests/relay_state_test.cpp
+++ b/tests/relay_state_test.cpp
@@ -55,9 +55,9 @@
 {
   const ManualClock clock;
   FleetState state(clock);
-  EXPECT_TRUE(state.UpdateRoutes({ 5, {}, {} }));
-  EXPECT_FALSE(state.UpdateRoutes({ 5, {}, {} }));
-  EXPECT_FALSE(state.UpdateRoutes({ 4, {}, {} }));
+  EXPECT_TRUE(state.UpdateRoutes({ 5, {}, {}, {} }));
+  EXPECT_FALSE(state.UpdateRoutes({ 5, {}, {}, {} }));
+  EXPECT_FALSE(state.UpdateRoutes({ 4, {}, {}, {} }));
   EXPECT_TRUE(state.UpdateTargets(SetOf(10, { Target(1) }), Millis{ 0 }));
   EXPECT_FALSE(state.UpdateTargets(SetOf(9, {}), Millis{ 0 }));
   EXPECT_EQ(state.KnownTargets().size(), 1U);
@@ -395,7 +395,7 @@
     [] { FAIL() << "encoded message refused"; });
   StateReply reply;
   reply.targets.push_back(SetOf(3, { Target(1), Target(2) }));
-  RouteTable table{ 4, Millis{ 15000 }, {} };
+  RouteTable table{ 4, Millis{ 15000 }, {}, {} };
   table.routes.emplace_back();
   table.routes.back().services.push_back({ ServiceIdOf("s"), 3 });
   reply.routes.push_back(table);
--- a/tests/state_transfer_test.cpp
+++ b/tests/state_transfer_test.cpp
@@ -37,7 +37,7 @@
     : state(aClock)
     , transfer(state)
   {
-    state.UpdateRoutes({ 1, Millis{ 0 }, {} });
+    state.UpdateRoutes({ 1, Millis{ 0 }, {}, {} });
   }
 
   auto Take(const TargetSet& aSet) -> void
