Serve evacuations of failure domains and limit cold servers

Change: the store client reads everything under op/ in the call that fetched the configuration alone; evacuations spread by revision and hash like targets and are known to a process that starts. Balancers choose no server of an evacuated domain; agents pass first packets on, also those that wait. If nothing else is left, the flow is refused with the cause evacuated. A server is cold after its domain's evacuation ends; its agent limits new flows to the configuration's coldPerS in any second. Log lines evacuation_in_force and evacuation_lifted, two gauges, one counter.

--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -21,6 +21,7 @@
   , log_(aLog)
   , order_(aState, aPeers)
   , meter_(aClock)
+  , coldStart_(aClock)
   , trackingSince_(aClock.Now())
   , trackedIdleTimeout_(kDefaultIdleTimeout)
   , postponed_(aClock)
@@ -281,6 +282,7 @@
 {
   if (const auto* own = state_.FindAgent(init_.self)) {
     meter_.SetSlots(own->target.slots);
+    coldStart_.Update(state_.LimitsOf(own->target.service), own->coldUntil);
   }
   if (state_.IdleTimeout() > trackedIdleTimeout_) {
     // Flows whose entries the shorter timeout dropped may still be alive.
--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -6,6 +6,7 @@
 
 #include "core/event.h"
 #include "relay/backend_meter.h"
+#include "relay/cold_start_limit.h"
 #include "relay/content_reader.h"
 #include "relay/flow_queries.h"
 #include "relay/opening_queue.h"
@@ -36,6 +37,7 @@
   std::uint64_t deferred = 0;   // wait too long; a retransmission follows
   std::uint64_t givenUp = 0;    // refused: no answer in time
   std::uint64_t redirected = 0; // first packets sent to another agent
+  std::uint64_t evacuated = 0;  // redirected or refused: domain evacuated
   std::uint64_t followed = 0;   // later packets forwarded by a record
   std::uint64_t searched = 0;   // later packets forwarded without one
   std::uint64_t searchEnded = 0;
@@ -263,6 +265,7 @@
   AnswerObserver* observer_ = nullptr;
   SearchOrder order_;
   BackendMeter meter_;
+  ColdStartLimit coldStart_;
   // Since this time, entries are kept for the whole idle timeout.
   TimePoint trackingSince_;
   Millis trackedIdleTimeout_;
--- a/src/relay/agent_relay_opening.cpp
+++ b/src/relay/agent_relay_opening.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr const char* kFailing = "failing";
+constexpr const char* kEvacuated = "evacuated";
 
 // @param aBytes must outlive the packet.
 auto FirstPacketOf(const FlowKey& aFlow,
@@ -39,6 +40,9 @@
   if (own->standing == TargetStanding::Leaving) {
     return "draining";
   }
+  if (own->evacuated) {
+    return kEvacuated;
+  }
   return nullptr;
 }
 
@@ -114,8 +118,9 @@
 
 auto AgentRelay::HasCapacity() const -> bool
 {
-  return meter_.InFlight() + awaitedRequests_ <
-         MaxRequestsInFlight(meter_.Slots(), meter_.ServiceTime());
+  return coldStart_.Admits() &&
+         meter_.InFlight() + awaitedRequests_ <
+           MaxRequestsInFlight(meter_.Slots(), meter_.ServiceTime());
 }
 
 auto AgentRelay::Admit(const WaitingOpening& aOpening, RelayPort& aPort) -> void
@@ -128,6 +133,7 @@
   own.awaitedSince = now;
   awaitingFirstRequest_.emplace_back(now, aOpening.flow);
   openings_[aOpening.flow] = { aOpening.bytes, aOpening.tag, now };
+  coldStart_.OnAdmitted();
   auto bytes = aOpening.bytes;
   Deliver(own, FirstPacketOf(aOpening.flow, aOpening.tag, bytes), aPort);
 }
@@ -158,7 +164,8 @@
   const auto busy = meter_.InFlight() + awaitedRequests_;
   const auto service = meter_.ServiceTime();
   const auto waitBehind = [&](std::size_t aQueued) {
-    return ExpectedWait(busy + aQueued, meter_.Slots(), service);
+    return ExpectedWait(busy + aQueued, meter_.Slots(), service) +
+           coldStart_.TimeToAdmit(aQueued);
   };
   const auto ahead = queue_.CountAhead(aOpening, now, TimeToAnswerNow());
   if (now + waitBehind(ahead) <= aOpening.objectiveDeadline) {
@@ -223,8 +230,8 @@
     Refuse(expired, aPort);
   }
   const auto* own = state_.FindAgent(init_.self);
-  const bool closed =
-    !meter_.AcceptsFlows() || !own || own->standing >= TargetStanding::Leaving;
+  const bool closed = !meter_.AcceptsFlows() || !own || own->evacuated ||
+                      own->standing >= TargetStanding::Leaving;
   while (queue_.Size() > 0 && (closed || HasCapacity())) {
     AdmitOrRedirect(*queue_.TakeNext(now, TimeToAnswerNow()), aPort);
   }
@@ -281,6 +288,7 @@
                           RelayPort& aPort) -> void
 {
   const auto next = NextAgent(aPacket, aRoute);
+  counters_.evacuated += aCause == kEvacuated ? 1 : 0;
   log_.Write(EventLevel::Info,
              Event("flow_redirected")
                .With("flow", ToText(aPacket.flow))
--- a/src/relay/placement_expected_wait.cpp
+++ b/src/relay/placement_expected_wait.cpp
@@ -64,7 +64,7 @@
       return ChooseAny(unknownFar_, "unknown_load");
     }
     if (near_.empty() && far_.empty()) {
-      return doubtful_.empty() ? PlacementChoice{}
+      return doubtful_.empty() ? NoChoice(aService)
                                : ChooseAny(doubtful_, "doubtful");
     }
     const auto mean = peers_.MeanServiceTime(aService);
@@ -122,7 +122,7 @@
     -> Preference
   {
     if (aKnown.standing == TargetStanding::Leaving ||
-        aKnown.standing == TargetStanding::Gone) {
+        aKnown.standing == TargetStanding::Gone || aKnown.evacuated) {
       return Preference::Never;
     }
     const auto ip = aKnown.target.agent.ip;
@@ -181,6 +181,18 @@
     return ExpectedAnswerTime(load, placed, service);
   }
 
+  auto NoChoice(ServiceId aService) const -> PlacementChoice
+  {
+    PlacementChoice none;
+    for (const auto index : state_.TargetsOfService(aService)) {
+      const auto& known = state_.KnownTargets()[index];
+      if (known.evacuated && known.standing == TargetStanding::Open) {
+        none.cause = "evacuated";
+      }
+    }
+    return none;
+  }
+
   auto ChooseAny(const std::vector<const KnownTarget*>& aList,
                  const char* aCause) -> PlacementChoice
   {
--- a/src/relay/placement_rendezvous.cpp
+++ b/src/relay/placement_rendezvous.cpp
@@ -22,7 +22,7 @@
     for (const auto index : state_.TargetsOfService(aService)) {
       const auto& known = state_.KnownTargets()[index];
       const auto weight = RendezvousWeight(HashOf(aFlow), known.target.agent);
-      if (known.standing == TargetStanding::Open &&
+      if (known.standing == TargetStanding::Open && !known.evacuated &&
           known.target.agent != aExcluded && weight >= highest) {
         highest = weight;
         choice.agent = known.target.agent;
--- a/src/relay_node/interfaces.h
+++ b/src/relay_node/interfaces.h
@@ -83,17 +83,24 @@
   std::vector<DecodeFinding> findings;
 };
 
-// Reads targets and routes from the platform's store.
+// What operators wrote to the store.
+struct OperatorState
+{
+  // Nothing if they did not change since the last read, or if the new
+  // configuration was refused as a whole; then a finding says so.
+  std::optional<RouteTable> routes;
+  EvacuationSet evacuations;
+};
+
+// Reads targets and what operators wrote from the platform's store.
 class StateSource
 {
 public:
   virtual ~StateSource() = default;
   virtual auto ReadTargets()
     -> boost::asio::awaitable<ReadResult<Decoded<TargetSet>>> = 0;
-  // @return no value if the routes did not change since the last read, or if
-  // the new configuration was refused as a whole; then a finding says so.
-  virtual auto ReadRoutes() -> boost::asio::awaitable<
-    ReadResult<Decoded<std::optional<RouteTable>>>> = 0;
+  virtual auto ReadOperatorState()
+    -> boost::asio::awaitable<ReadResult<Decoded<OperatorState>>> = 0;
   // Calls made so far, including failed ones.
   virtual auto Calls() const -> std::uint64_t = 0;
 };
--- a/src/relay_node/relay_metrics.cpp
+++ b/src/relay_node/relay_metrics.cpp
@@ -102,6 +102,9 @@
   count("flows_redirected_total",
         "First packets passed on to another agent",
         counters.redirected);
+  count("openings_evacuated_total",
+        "First packets passed on or refused, as the domain is evacuated",
+        counters.evacuated);
   count("packets_followed_total",
         "Packets passed on by a directory record",
         counters.followed);
@@ -180,6 +183,12 @@
   const auto digest = state_.Digest();
   list.Gauge("routes_version", "Configuration in force", double(digest.routes));
   list.Gauge("targets_revision", "Targets in force", double(digest.targets));
+  list.Gauge("evacuated_domains",
+             "Failure domains whose servers get no new flows",
+             double(state_.CurrentEvacuations().domains.size()));
+  list.Gauge("evacuations_revision",
+             "Revision of the store at which evacuations were read",
+             double(state_.CurrentEvacuations().revision));
   list.Gauge("state_age_seconds",
              "Since the store confirmed the state",
              double(digest.age.count()) / 1000.0);
--- a/src/relay_node/relay_process.h
+++ b/src/relay_node/relay_process.h
@@ -22,6 +22,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <deque>
+#include <set>
 #include <unordered_set>
 
 namespace damaskwalk {
@@ -134,11 +135,13 @@
   auto PullFrom(std::uint32_t aIp) -> Task;
   auto StartPull(std::uint32_t aIp) -> void;
   auto ReadStore(ReadCause aCause) -> Task;
-  // @return true if other routes came into force.
-  auto OnRoutesRead(Decoded<std::optional<RouteTable>>& aRead) -> bool;
+  // @return true if other routes or evacuations came into force.
+  auto OnOperatorRead(Decoded<OperatorState>& aRead) -> bool;
   auto OnStoreError(const char* aWhat, StateSourceError aError) -> void;
   auto OnStoreReadSucceeded() -> void;
   auto OnStateChanged(const char* aCause) -> void;
+  // Logs evacuations that began or ended since the last call.
+  auto LogEvacuations(const char* aCause) -> void;
   auto UpdateFarTargets() -> void;
 
   // Process lifecycle.
@@ -181,6 +184,7 @@
   boost::asio::signal_set signals_;
 
   std::deque<WaitingPacket> waitingPackets_;
+  std::set<std::string> evacuated_; // as logged last
   std::unordered_map<std::uint32_t, TimePoint> loadReportedAt_;
   TimePoint nextSweep_;
   TimePoint lastCallerPacket_;
--- a/src/relay_node/relay_state.cpp
+++ b/src/relay_node/relay_state.cpp
@@ -119,13 +119,12 @@
     changed |= state_.UpdateTargets(read.value, took);
   }
   if (succeeded && wantsRoutes) {
-    auto routes = co_await init_.source.ReadRoutes();
-    if (const auto* error = std::get_if<StateSourceError>(&routes)) {
+    auto operators = co_await init_.source.ReadOperatorState();
+    if (const auto* error = std::get_if<StateSourceError>(&operators)) {
       OnStoreError("routes", *error);
       succeeded = false;
     } else {
-      changed |=
-        OnRoutesRead(std::get<Decoded<std::optional<RouteTable>>>(routes));
+      changed |= OnOperatorRead(std::get<Decoded<OperatorState>>(operators));
     }
   }
   storeCalls_.at(static_cast<std::size_t>(aCause)) +=
@@ -144,16 +143,18 @@
   FlushAll();
 }
 
-auto RelayProcess::OnRoutesRead(Decoded<std::optional<RouteTable>>& aRead)
-  -> bool
+auto RelayProcess::OnOperatorRead(Decoded<OperatorState>& aRead) -> bool
 {
-  if (!aRead.value && aRead.findings.empty()) {
-    return false; // unchanged
+  auto& routes = aRead.value.routes;
+  bool changed =
+    !state_.UpdateEvacuations(std::move(aRead.value.evacuations)).IsEmpty();
+  if (!routes && aRead.findings.empty()) {
+    return changed;
   }
-  const auto version =
-    aRead.value ? aRead.value->version : state_.Routes().version;
+  const auto version = routes ? routes->version : state_.Routes().version;
   routeFindings_.Update(version, aRead.findings);
-  return aRead.value && state_.UpdateRoutes(std::move(*aRead.value));
+  changed |= routes && state_.UpdateRoutes(std::move(*routes));
+  return changed;
 }
 
 auto RelayProcess::OnStoreError(const char* aWhat, StateSourceError aError)
@@ -192,6 +193,7 @@
                     .With("open_targets", open)
                     .With("known_targets", state_.KnownTargets().size())
                     .Text());
+  LogEvacuations(aCause);
   exchange_.OnStateChanged();
   transfer_.OnTargetsChanged();
   UpdateFarTargets();
@@ -203,6 +205,32 @@
   }
 }
 
+auto RelayProcess::LogEvacuations(const char* aCause) -> void
+{
+  const auto& current = state_.CurrentEvacuations();
+  const auto log = [&](const char* aEvent, const std::string& aDomain) {
+    init_.log.Write(EventLevel::Info,
+                    Event(aEvent)
+                      .With("domain", aDomain)
+                      .With("cause", aCause)
+                      .With("revision", current.revision)
+                      .With("age_ms", state_.Digest().age.count())
+                      .Text());
+  };
+  std::set<std::string> domains(current.domains.begin(), current.domains.end());
+  for (const auto& domain : domains) {
+    if (!evacuated_.contains(domain)) {
+      log("evacuation_in_force", domain);
+    }
+  }
+  for (const auto& domain : evacuated_) {
+    if (!domains.contains(domain)) {
+      log("evacuation_lifted", domain);
+    }
+  }
+  evacuated_ = std::move(domains);
+}
+
 auto RelayProcess::UpdateFarTargets() -> void
 {
   std::unordered_set<std::uint32_t> far;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -321,7 +321,7 @@
         [] { return true; });
     };
     refused([&] { return DecodeTargetPage(text, 1); });
-    refused([&] { return DecodeItem(text); });
+    refused([&] { return DecodeOperatorPage(text); });
     refused([&] { return DecodeWatch(text, "k"); });
     refused([&] { return ParseSettings(text); });
     DecodeRoutes(text);
--- a/tests/relay_model.h
+++ b/tests/relay_model.h
@@ -118,6 +118,9 @@
   // selects; the others keep their old view.
   auto Publish() -> void;
   auto PublishTo(std::function<bool(std::uint32_t aIp)> aSelects) -> void;
+  // Sets the evacuated failure domains in all processes; "domain-0" holds the
+  // balancers and every third target.
+  auto Evacuate(std::vector<std::string> aDomains) -> void;
   // Splits the route of a service's address evenly over the given services.
   // Takes effect with the next Publish.
   auto SetRoute(std::size_t aService, std::vector<std::size_t> aServices)
--- a/tests/relay_model_faults.cpp
+++ b/tests/relay_model_faults.cpp
@@ -136,6 +136,18 @@
   return table;
 }
 
+auto RelayModel::Evacuate(std::vector<std::string> aDomains) -> void
+{
+  ++revision_;
+  for (auto& target : targets_) {
+    target->node->state.UpdateEvacuations({ revision_, aDomains });
+    target->node->agent->OnStateChanged();
+  }
+  for (auto& balancer : balancers_) {
+    balancer->state.UpdateEvacuations({ revision_, aDomains });
+  }
+}
+
 auto RelayModel::SetRoute(std::size_t aService,
                           std::vector<std::size_t> aServices) -> void
 {
