--- a/src/relay/evacuations.cpp
+++ b/src/relay/evacuations.cpp
@@ -21,8 +21,8 @@
     return change;
   }
   std::ranges::sort(aSet.domains);
-  const auto repeated = std::ranges::unique(aSet.domains);
-  aSet.domains.erase(repeated.begin(), repeated.end());
+  aSet.domains.erase(std::unique(aSet.domains.begin(), aSet.domains.end()),
+                     aSet.domains.end());
   std::ranges::set_difference(
     aSet.domains, set_.domains, std::back_inserter(change.begun));
   std::ranges::set_difference(
