Serve callers below their share first, and give every priority a floor

While first packets wait in an agent, callers that had more than the mean of the admissions of about the last second come after the others of the same class and priority. Admissions are counted in two Space-Saving sketches of 128 counters, only while first packets wait and for a second after that.

Strict priority starved less urgent kinds under a flood of urgent ones. One in 8 admissions now goes to the less urgent kinds that can be on time, in turn; the predicted wait of an arriving first packet accounts for it.

--- a/bench/bench_decisions.cpp
+++ b/bench/bench_decisions.cpp
@@ -4,6 +4,7 @@
 #include "balancer/balancer.h"
 #include "core/admission.h"
 #include "core/placement.h"
+#include "relay/opening_queue.h"
 
 #include <benchmark/benchmark.h>
 
@@ -178,6 +179,48 @@
 }
 BENCHMARK(DirectoryRegisterAndFind);
 
+// Choice of the next of Range(0) waiting first packets, while the caller shares
+// hold as many callers as they can.
+void OpeningQueueTakeNext(benchmark::State& aState)
+{
+  TimePoint now{ std::chrono::seconds{ 10 } };
+  constexpr std::chrono::milliseconds kTimeToAnswer{ 30 };
+  OpeningQueue queue;
+  std::uint32_t next = 0;
+  const auto add = [&] {
+    WaitingOpening opening;
+    opening.flow = { { 0x0A000000 + next % 2000, std::uint16_t(next) },
+                     { 0x0A010001, 80 } };
+    opening.objectiveDeadline = now + std::chrono::milliseconds{ 250 };
+    opening.priority = next % 3;
+    ++next;
+    queue.Add(std::move(opening));
+  };
+  for (std::int64_t i = 0; i < aState.range(0); ++i) {
+    add();
+  }
+  for (auto _ : aState) {
+    now += std::chrono::microseconds{ 100 };
+    const auto taken = queue.TakeNext(now, kTimeToAnswer);
+    queue.OnAdmitted(taken->flow.caller.ip, now);
+    add();
+  }
+}
+BENCHMARK(OpeningQueueTakeNext)->Arg(1)->Arg(16)->Arg(128)->Arg(512);
+
+// An admission while nothing waits: the shares are off.
+void AdmissionWithoutWaiting(benchmark::State& aState)
+{
+  OpeningQueue queue;
+  const TimePoint now{ std::chrono::seconds{ 10 } };
+  std::uint32_t next = 0;
+  for (auto _ : aState) {
+    queue.OnAdmitted(++next, now);
+    benchmark::ClobberMemory();
+  }
+}
+BENCHMARK(AdmissionWithoutWaiting);
+
 } // namespace
 } // namespace damaskwalk
 
--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -33,6 +33,9 @@
   std::uint64_t toCallers = 0;
   std::uint64_t queued = 0;     // first packets that had to wait
   std::uint64_t expired = 0;    // refused in the queue: too late by now
+  // First packets that later ones overtook, as their caller was above its share
+  std::uint64_t waitedForShare = 0;
+  std::uint64_t floorAdmissions = 0; // admitted before more urgent ones
   std::uint64_t deferred = 0;   // wait too long; a retransmission follows
   std::uint64_t givenUp = 0;    // refused: no answer in time
   std::uint64_t redirected = 0; // first packets sent to another agent
--- a/src/relay/agent_relay_opening.cpp
+++ b/src/relay/agent_relay_opening.cpp
@@ -125,6 +125,7 @@
   own.awaitsFirstRequest = true;
   ++awaitedRequests_;
   const auto now = clock_.Now();
+  queue_.OnAdmitted(aOpening.flow.caller.ip, now);
   own.awaitedSince = now;
   awaitingFirstRequest_.emplace_back(now, aOpening.flow);
   openings_[aOpening.flow] = { aOpening.bytes, aOpening.tag, now };
@@ -220,6 +221,7 @@
   }
   for (const auto& expired : queue_.TakeExpired(now, TimeToAnswerNow())) {
     ++counters_.expired;
+    counters_.waitedForShare += expired.waitedForShare ? 1 : 0;
     Refuse(expired, aPort);
   }
   const auto* own = state_.FindAgent(init_.self);
@@ -238,7 +240,9 @@
     return; // the route was removed while the opening was queued
   }
   const auto* cause = RegistrationRefusalCause(*route);
+  counters_.waitedForShare += aOpening.waitedForShare ? 1 : 0;
   if (!cause && meter_.AcceptsFlows()) {
+    counters_.floorAdmissions += aOpening.takenByFloor ? 1 : 0;
     Admit(aOpening, aPort);
     return;
   }
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -139,6 +139,18 @@
 constexpr Millis kDefaultRouteTimeout{ 5000 };
 // Latency objective of routes that state none.
 constexpr Millis kDefaultLatencyObjective{ 250 };
+// Admissions per caller are counted in two windows of this length that
+// alternate, so that a caller's share recovers within a second.
+constexpr Millis kCallerShareWindow{ 500 };
+// Admissions are counted for this long after a first packet waited: both
+// windows.
+constexpr Millis kCallerShareMemory = 2 * kCallerShareWindow;
+// Counters per window, about 2 KB. A caller that has more than 2/128 of the
+// admissions is recognized for certain, however many callers there are.
+constexpr std::size_t kCallerShareCounters = 128;
+// While several priorities wait, one in this many admissions goes to the less
+// urgent ones: 12.5%, which leaves the most urgent 87.5% of the capacity.
+constexpr std::uint32_t kAdmissionsPerFloor = 8;
 // Most agents that a first packet may visit.
 constexpr std::uint8_t kMaxFirstPacketHops = 6;
 // Most agents that a later packet may visit while its flow is searched for.
--- a/src/relay/opening_queue.cpp
+++ b/src/relay/opening_queue.cpp
@@ -3,6 +3,7 @@
 #include "relay/limits.h"
 
 #include <algorithm>
+#include <set>
 
 namespace damaskwalk {
 
@@ -20,41 +21,113 @@
 
 namespace {
 
-// Openings are taken in this order, and in order of arrival within one rank.
-auto RankOf(const WaitingOpening& aOpening,
+auto IsLate(const WaitingOpening& aOpening,
             TimePoint aNow,
-            std::chrono::microseconds aTimeToAnswer)
+            std::chrono::microseconds aTimeToAnswer) -> bool
 {
-  const bool late = aNow + aTimeToAnswer > aOpening.objectiveDeadline;
-  return std::pair(late, aOpening.priority);
+  return aNow + aTimeToAnswer > aOpening.objectiveDeadline;
 }
 
 } // namespace
 
+auto OpeningQueue::RankOf(const WaitingOpening& aOpening,
+                          TimePoint aNow,
+                          std::chrono::microseconds aTimeToAnswer) const -> Rank
+{
+  return { IsLate(aOpening, aNow, aTimeToAnswer),
+           aOpening.priority,
+           shares_.IsAboveShare(aOpening.flow.caller.ip, aNow) };
+}
+
 auto OpeningQueue::CountAhead(const WaitingOpening& aOpening,
                               TimePoint aNow,
                               std::chrono::microseconds aTimeToAnswer) const
   -> std::size_t
 {
   const auto own = RankOf(aOpening, aNow, aTimeToAnswer);
-  return static_cast<std::size_t>(
-    std::ranges::count_if(waiting_, [&](const auto& aEntry) {
-      return RankOf(aEntry, aNow, aTimeToAnswer) <= own;
-    }));
+  std::size_t ahead = 0;
+  std::size_t aheadOfKind = 0;
+  std::size_t lessUrgent = 0;
+  // On-time priorities, counting this opening's.
+  std::set<std::uint32_t> kinds{ aOpening.priority };
+  for (const auto& entry : waiting_) {
+    const auto rank = RankOf(entry, aNow, aTimeToAnswer);
+    const bool late = std::get<0>(rank);
+    if (!late) {
+      kinds.insert(entry.priority);
+    }
+    if (rank <= own) {
+      ++ahead;
+      aheadOfKind += !late && entry.priority == aOpening.priority ? 1 : 0;
+    } else {
+      lessUrgent += !late && entry.priority > aOpening.priority ? 1 : 0;
+    }
+  }
+  if (std::get<0>(own)) {
+    return ahead;
+  }
+  if (aOpening.priority == *kinds.begin()) {
+    return ahead + std::min(lessUrgent, ahead / (kAdmissionsPerFloor - 1));
+  }
+  const auto period = kAdmissionsPerFloor * (kinds.size() - 1);
+  return std::min(ahead, (aheadOfKind + 1) * period - 1);
+}
+
+auto OpeningQueue::FloorPriority(TimePoint aNow,
+                                 std::chrono::microseconds aTimeToAnswer)
+  -> std::optional<std::uint32_t>
+{
+  std::set<std::uint32_t> kinds;
+  for (const auto& entry : waiting_) {
+    if (!IsLate(entry, aNow, aTimeToAnswer)) {
+      kinds.insert(entry.priority);
+    }
+  }
+  if (kinds.size() < 2 || ++sinceFloor_ < kAdmissionsPerFloor) {
+    return std::nullopt;
+  }
+  sinceFloor_ = 0;
+  // In turn, so that no priority between the most and the least urgent one is
+  // left out.
+  kinds.erase(kinds.begin());
+  const auto next = kinds.upper_bound(lastFloorPriority_);
+  lastFloorPriority_ = next == kinds.end() ? *kinds.begin() : *next;
+  return lastFloorPriority_;
 }
 
 auto OpeningQueue::TakeNext(TimePoint aNow,
                             std::chrono::microseconds aTimeToAnswer)
   -> std::optional<WaitingOpening>
 {
-  const auto rank = [&](const WaitingOpening& aEntry) {
-    return RankOf(aEntry, aNow, aTimeToAnswer);
-  };
-  const auto best = std::ranges::min_element(waiting_, {}, rank);
-  if (best == waiting_.end()) {
+  if (waiting_.empty()) {
     return std::nullopt;
   }
+  for (const auto& entry : waiting_) {
+    shares_.OnWaiting(entry.flow.caller.ip, aNow);
+  }
+  const auto floor = FloorPriority(aNow, aTimeToAnswer);
+  auto best = waiting_.end();
+  Rank bestRank;
+  for (auto entry = waiting_.begin(); entry != waiting_.end(); ++entry) {
+    const auto rank = RankOf(*entry, aNow, aTimeToAnswer);
+    if (floor && (std::get<0>(rank) || entry->priority != *floor)) {
+      continue;
+    }
+    if (best == waiting_.end() || rank < bestRank) {
+      best = entry;
+      bestRank = rank;
+    }
+  }
+  const bool late = std::get<0>(bestRank);
+  for (auto entry = waiting_.begin(); entry != best; ++entry) {
+    // Older ones of the same class and priority differ in their share only.
+    if (entry->priority == best->priority &&
+        IsLate(*entry, aNow, aTimeToAnswer) == late) {
+      entry->waitedForShare = true;
+    }
+  }
   auto opening = std::move(*best);
+  opening.takenByFloor = floor.has_value();
   waiting_.erase(best);
   return opening;
 }
--- a/src/relay_node/relay_metrics.cpp
+++ b/src/relay_node/relay_metrics.cpp
@@ -96,6 +96,14 @@
     "openings_deferred_total",
     "First packets left to their next copy, as their wait would be too long",
     counters.deferred);
+  count("openings_waited_for_share_total",
+        "First packets that later ones overtook, as their caller had more than "
+        "its share",
+        counters.waitedForShare);
+  count("openings_floor_total",
+        "First packets admitted before more urgent ones, so that none waits "
+        "indefinitely",
+        counters.floorAdmissions);
   count("openings_given_up_total",
         "First packets refused because their wait would be too long",
         counters.givenUp);
--- a/tests/relay_load_test.cpp
+++ b/tests/relay_load_test.cpp
@@ -393,4 +393,47 @@
   EXPECT_EQ(queue.Size(), 0U);
 }
 
+// One caller opens a burst of flows, and others one each right after it. They
+// must not wait for the whole burst.
+TEST(RelayLoad, OtherCallersAreServedDuringABurstOfOne)
+{
+  RelayModel model({ 1, 1 }, 1);
+  model.SetServiceTime(0, Millis{ 20 });
+  RunRequests(model, 20);
+  model.Run(Millis{ 1500 });
+  std::vector<std::size_t> burst;
+  std::vector<std::size_t> others;
+  model.SetCaller(1);
+  for (std::size_t i = 0; i < 40; ++i) {
+    burst.push_back(model.Open(0, 0));
+  }
+  model.Run(Millis{ 10 });
+  for (std::uint32_t caller = 2; caller < 7; ++caller) {
+    model.SetCaller(caller);
+    others.push_back(model.Open(0, 0));
+  }
+  const auto openOf = [&](const std::vector<std::size_t>& aFlows) {
+    return std::ranges::count_if(
+      aFlows, [&](std::size_t aFlow) { return model.Flow(aFlow).open; });
+  };
+  std::set<std::size_t> requested;
+  int steps = 0;
+  for (; steps < 200 && openOf(others) < 5; ++steps) {
+    for (const auto& flows : { burst, others }) {
+      for (const auto flow : flows) {
+        if (model.Flow(flow).open && requested.insert(flow).second) {
+          model.SendRequest(flow, 0);
+        }
+      }
+    }
+    model.Run(Millis{ 5 });
+  }
+  RecordProperty("burst_opened", std::to_string(openOf(burst)));
+  RecordProperty("waited",
+                 std::to_string(model.Agent(0).Counters().waitedForShare));
+  EXPECT_EQ(openOf(others), 5);
+  EXPECT_LE(openOf(burst), 20);
+  EXPECT_GT(model.Agent(0).Counters().waitedForShare, 0U);
+}
+
 } // namespace damaskwalk
--- a/tests/relay_model.cpp
+++ b/tests/relay_model.cpp
@@ -99,7 +99,7 @@
   -> std::size_t
 {
   ModelFlow flow;
-  flow.key = { { kCallerIp, nextPort_++ }, AddressOf(aService) };
+  flow.key = { { kCallerIp + caller_, nextPort_++ }, AddressOf(aService) };
   byKey_[flow.key] = flows_.size();
   flows_.push_back(flow);
   SendFromCaller(
--- a/tests/relay_model.h
+++ b/tests/relay_model.h
@@ -79,6 +79,8 @@
   // Runs due events and advances the clock by aFor.
   auto Run(Millis aFor) -> void;
 
+  // Source of the flows that are opened from now on.
+  auto SetCaller(std::uint32_t aNumber) -> void { caller_ = aNumber; }
   // Callers. Balancers are given by index.
   auto Open(std::size_t aService, std::size_t aBalancer) -> std::size_t;
   auto SendRequest(std::size_t aFlow, std::size_t aBalancer) -> void;
@@ -197,6 +199,7 @@
   std::uint32_t foreignPackets_ = 0;
   std::uint32_t longestPath_ = 0;
   std::uint16_t nextPort_ = 1000;
+  std::uint32_t caller_ = 0;
   std::priority_queue<Scheduled> due_;
   std::vector<std::unique_ptr<Target>> targets_;
   std::vector<std::unique_ptr<Node>> balancers_;
