Move first packets that would be late to an agent that answers in time

An agent kept a first packet in its queue although another agent of the service had room. It now forwards the packet once if the packet would miss its latency objective here, and another agent's recent load report promises an answer that meets it and is at least a quarter of the objective earlier.

Bounded random draws keep the cost of a decision independent of the number of targets. First packets that were moved since a report count as load of that agent.

--- a/bench/bench_decisions.cpp
+++ b/bench/bench_decisions.cpp
@@ -4,6 +4,8 @@
 #include "balancer/balancer.h"
 #include "core/admission.h"
 #include "core/placement.h"
+#include "relay/limits.h"
+#include "relay/opening_mover.h"
 
 #include <benchmark/benchmark.h>
 
@@ -178,6 +180,45 @@
 }
 BENCHMARK(DirectoryRegisterAndFind);
 
+// Choice of the agent for a first packet that is late, among Range(0) targets
+// in 12 failure domains. All are full, so no search ends early.
+void ChoiceForALateOpening(benchmark::State& aState)
+{
+  const ManualClock clock;
+  FleetState fleet(clock);
+  PeerTable peers(clock);
+  const auto service = ServiceIdOf("s");
+  TargetSet set;
+  set.revision = 1;
+  for (std::int64_t i = 0; i < aState.range(0); ++i) {
+    RelayTarget target;
+    target.id = std::to_string(i);
+    target.service = service;
+    target.agent = { static_cast<std::uint32_t>(1 + i), 8172 };
+    target.failureDomain = "d" + std::to_string(i % 12);
+    target.slots = 4;
+    RelayHeartbeat heartbeat;
+    heartbeat.role = RelayRole::Agent;
+    BackendLoad load;
+    load.service = service;
+    load.slots = 4;
+    load.inFlight = 1000;
+    load.serviceMicros = 20000;
+    heartbeat.load.push_back(load);
+    peers.OnHeartbeat(target.agent.ip, heartbeat);
+    set.targets.push_back(std::move(target));
+  }
+  fleet.UpdateTargets(set, Millis{ 0 });
+  OpeningMover mover({ 1, 8172 }, fleet, peers, clock);
+  WaitingOpening opening;
+  opening.firstSentAt = clock.Now();
+  opening.objectiveDeadline = clock.Now() + kDefaultLatencyObjective;
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(mover.Choose(opening, service, Millis{ 400 }));
+  }
+}
+BENCHMARK(ChoiceForALateOpening)->Arg(45)->Arg(136)->Arg(2000);
+
 } // namespace
 } // namespace damaskwalk
 
--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -23,6 +23,7 @@
   , meter_(aClock)
   , trackingSince_(aClock.Now())
   , trackedIdleTimeout_(kDefaultIdleTimeout)
+  , mover_(aInit.self, aState, aPeers, aClock)
   , postponed_(aClock)
   , queries_(aInit.self, aState, aPeers, aClock)
 {
--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -8,6 +8,7 @@
 #include "relay/backend_meter.h"
 #include "relay/content_reader.h"
 #include "relay/flow_queries.h"
+#include "relay/opening_mover.h"
 #include "relay/opening_queue.h"
 #include "relay/packet.h"
 #include "relay/postponed_searches.h"
@@ -36,6 +37,7 @@
   std::uint64_t deferred = 0;   // wait too long; a retransmission follows
   std::uint64_t givenUp = 0;    // refused: no answer in time
   std::uint64_t redirected = 0; // first packets sent to another agent
+  std::uint64_t moved = 0;      // of these, to have them answered in time
   std::uint64_t followed = 0;   // later packets forwarded by a record
   std::uint64_t searched = 0;   // later packets forwarded without one
   std::uint64_t searchEnded = 0;
@@ -206,6 +208,22 @@
                 const RelayRoute& aRoute,
                 const char* aCause,
                 RelayPort& aPort) -> void;
+  // Forwards a first packet to the agent, or resets its caller if there is
+  // none.
+  auto SendToNext(Packet& aPacket,
+                  const RelayRoute& aRoute,
+                  const char* aCause,
+                  const std::optional<Endpoint>& aNext,
+                  RelayPort& aPort) -> void;
+  // Sends a first packet that would be answered too late here to an agent that
+  // can still answer it in time, if there is one.
+  auto MoveIfLate(const WaitingOpening& aOpening,
+                  Packet& aPacket,
+                  const RelayRoute& aRoute,
+                  RelayPort& aPort) -> bool;
+  // Expected time to the answer of an opening that is queued now.
+  auto WaitInQueue(const WaitingOpening& aOpening) const
+    -> std::chrono::microseconds;
   // True if the caller accepted another backend server's answer.
   auto OpenedElsewhere(const OwnFlow& aOwn, const Packet& aPacket) const
     -> bool;
@@ -270,6 +288,7 @@
   boost::unordered_flat_map<FlowKey, Record, KeyHash> records_;
   std::unordered_map<FlowKey, OpeningPacket, KeyHash> openings_;
   OpeningQueue queue_;
+  OpeningMover mover_;
   PostponedSearches postponed_;
   FlowQueries queries_;
   // Flows for which a packet was sent to the backend server on behalf of other
--- a/src/relay/agent_relay_opening.cpp
+++ b/src/relay/agent_relay_opening.cpp
@@ -82,11 +82,30 @@
   auto opening = MakeWaiting(aPacket, *route);
   if (HasCapacity() && queue_.Size() == 0) {
     Admit(opening, aPort);
-  } else {
+  } else if (!MoveIfLate(opening, aPacket, *route, aPort)) {
     Enqueue(std::move(opening), aPort);
   }
 }
 
+auto AgentRelay::MoveIfLate(const WaitingOpening& aOpening,
+                            Packet& aPacket,
+                            const RelayRoute& aRoute,
+                            RelayPort& aPort) -> bool
+{
+  // A queued flow keeps its place; its retransmission replaces the packet.
+  if (queue_.Contains(aOpening.flow)) {
+    return false;
+  }
+  const auto agent = mover_.Choose(aOpening, Service(), WaitInQueue(aOpening));
+  if (!agent) {
+    return false;
+  }
+  ++counters_.moved;
+  mover_.OnMoved(aOpening.flow, *agent);
+  SendToNext(aPacket, aRoute, "moved", agent, aPort);
+  return true;
+}
+
 auto AgentRelay::MakeWaiting(const Packet& aPacket,
                              const RelayRoute& aRoute) const -> WaitingOpening
 {
@@ -152,6 +171,16 @@
     meter_.InFlight() + awaitedRequests_, meter_.Slots(), meter_.ServiceTime());
 }
 
+auto AgentRelay::WaitInQueue(const WaitingOpening& aOpening) const
+  -> std::chrono::microseconds
+{
+  const auto ahead =
+    queue_.CountAhead(aOpening, clock_.Now(), TimeToAnswerNow());
+  return ExpectedWait(meter_.InFlight() + awaitedRequests_ + ahead,
+                      meter_.Slots(),
+                      meter_.ServiceTime());
+}
+
 auto AgentRelay::CanBeServed(const WaitingOpening& aOpening) const -> bool
 {
   const auto now = clock_.Now();
@@ -160,8 +189,7 @@
   const auto waitBehind = [&](std::size_t aQueued) {
     return ExpectedWait(busy + aQueued, meter_.Slots(), service);
   };
-  const auto ahead = queue_.CountAhead(aOpening, now, TimeToAnswerNow());
-  if (now + waitBehind(ahead) <= aOpening.objectiveDeadline) {
+  if (now + WaitInQueue(aOpening) <= aOpening.objectiveDeadline) {
     return true;
   }
   // Late in any case: openings that come later and can be on time go first.
@@ -280,19 +308,27 @@
                           const char* aCause,
                           RelayPort& aPort) -> void
 {
-  const auto next = NextAgent(aPacket, aRoute);
+  SendToNext(aPacket, aRoute, aCause, NextAgent(aPacket, aRoute), aPort);
+}
+
+auto AgentRelay::SendToNext(Packet& aPacket,
+                            const RelayRoute& aRoute,
+                            const char* aCause,
+                            const std::optional<Endpoint>& aNext,
+                            RelayPort& aPort) -> void
+{
   log_.Write(EventLevel::Info,
              Event("flow_redirected")
                .With("flow", ToText(aPacket.flow))
                .With("route", aRoute.name)
                .With("cause", aCause)
-               .With("agent", next ? ToText(*next) : std::string("none"))
+               .With("agent", aNext ? ToText(*aNext) : std::string("none"))
                .With("hops", aPacket.tag.hops)
                .With("routes", state_.Routes().version)
                .With("targets", state_.Targets().revision)
                .With("age_ms", state_.Digest().age.count())
                .Text());
-  if (!next) {
+  if (!aNext) {
     ++counters_.resets;
     aPort.ResetCaller(aPacket.flow, 0);
     return;
@@ -300,7 +336,7 @@
   ++counters_.redirected;
   ++aPacket.tag.hops;
   aPacket.tag.wantsHint = true;
-  aPort.SendToAgent(*next, aPacket);
+  aPort.SendToAgent(*aNext, aPacket);
 }
 
 auto AgentRelay::RunTimeouts(RelayPort& aPort) -> void
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -218,4 +218,28 @@
 constexpr std::size_t kMaxNearCandidates = 3;
 constexpr std::size_t kMaxFarCandidates = 2;
 
+// Moving a first packet to an agent that answers it earlier. Random agents
+// compared in the own failure domain, and in all others together. All agents
+// that compare everything would choose the same one.
+constexpr std::size_t kMaxMoveCandidates = 3;
+// Most targets drawn to find them, so that the cost does not grow with the
+// fleet. In a fleet of 12 failure domains, 32 draws find an agent of the own
+// domain in 94% of the cases.
+constexpr std::size_t kMaxMoveDraws = 32;
+// A move must save at least the latency objective divided by this: estimates
+// from reports are inaccurate, and each move costs a hop.
+constexpr std::int64_t kMinMoveGainDivisor = 4;
+// Older load reports do not count. Agents report every 0.5 to 1 s.
+constexpr Millis kMaxMoveReportAge{ 1000 };
+// A report may have been sent, or be a repetition of one that was, this long
+// before it arrived, and lack first packets that were moved since.
+constexpr Millis kMoveReportDelay{ 50 };
+// Reports with greater values are invalid. No service takes a minute for a
+// request, and no agent's tables hold as many.
+constexpr std::chrono::microseconds kMaxReportedServiceTime{ 60000000 };
+constexpr std::uint32_t kMaxReportedInFlight = 100000;
+// Most moves that an agent remembers; it moves none beyond that. They are
+// forgotten after kMaxFirstPacketAge; each costs about 100 bytes.
+constexpr std::size_t kMaxRememberedMoves = 4096;
+
 } // namespace damaskwalk
--- a/src/relay/search_order.h
+++ b/src/relay/search_order.h
@@ -40,6 +40,9 @@
   auto NextAccepting(const RelayRoute& aRoute,
                      const FlowKey& aFlow,
                      const Endpoint& aAfter) const -> std::optional<Endpoint>;
+  // True if the target may get new flows and its agent is not known to refuse
+  // them.
+  auto AcceptsNewFlows(const KnownTarget& aKnown) const -> bool;
   // True if so few of the service's open targets accept new flows that failing
   // ones must be used as well.
   auto MustUseFailing(ServiceId aService) const -> bool;
@@ -59,7 +62,6 @@
   // True if a search that skips the target's silent agent is incomplete. False
   // for gone targets and for agents that stopped without flows.
   auto MayHoldFlows(const KnownTarget& aKnown) const -> bool;
-  auto AcceptsNewFlows(const KnownTarget& aKnown) const -> bool;
 
   const FleetState& state_;
   const PeerTable& peers_;
--- a/src/relay_node/relay_metrics.cpp
+++ b/src/relay_node/relay_metrics.cpp
@@ -102,6 +102,9 @@
   count("flows_redirected_total",
         "First packets passed on to another agent",
         counters.redirected);
+  count("openings_moved_total",
+        "First packets passed on so that they are answered in time",
+        counters.moved);
   count("packets_followed_total",
         "Packets passed on by a directory record",
         counters.followed);
