--- a/src/relay_node/relay_metrics.cpp
+++ b/src/relay_node/relay_metrics.cpp
@@ -113,6 +113,9 @@
   count("openings_evacuated_total",
         "First packets passed on or refused, as the domain is evacuated",
         counters.evacuated);
+  count("openings_moved_total",
+        "First packets passed on so that they are answered in time",
+        counters.moved);
   count("packets_followed_total",
         "Packets passed on by a directory record",
         counters.followed);
