Let processes that start together find each other's state sooner

Who has the state announced it once, before the others ran; they then waited for seeds that started late, one pull in 100 ms, or for the store.

Change: a process that has announced itself does so again every 100 ms, for a second, to peers that it has not heard. A process without state asks another peer after 30 ms. A process that starts no longer waits for a complete route history when 12 peers do not have one either.

--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -85,6 +85,14 @@
 // after this delay another peer is asked as well.
 constexpr Millis kNextPullDelay{ 100 };
 constexpr std::size_t kMaxConcurrentPulls = 4;
+// The same for a process without state. Seeds that do not run leave one of the
+// concurrent pulls to peers that announce themselves.
+constexpr Millis kNextUrgentPullDelay{ 30 };
+// A process that has started announces itself again to peers that it has not
+// heard, with this period and for this long: after a loss of power they start
+// within a second of each other.
+constexpr Millis kReannouncePeriod{ 100 };
+constexpr Millis kReannounceTime{ 1000 };
 
 // Changes of the targets that a process can pass on one by one: those of the
 // last minutes.
@@ -105,6 +113,9 @@
 // A process that starts waits this long for a peer that knows which services
 // routes named before, until it calls a flow lost.
 constexpr Millis kHistorySettleTime{ 60 };
+// It waits no longer when this many peers do not know either. Fewer are
+// restarted at a time by planned work.
+constexpr std::size_t kMinUnknowingPeers = 12;
 // Shortest time between two pulls of a peer's route history.
 constexpr Millis kHistoryPullPeriod{ 1000 };
 // Idle timeout until a configuration states one.
--- a/src/relay/peer_exchange.cpp
+++ b/src/relay/peer_exchange.cpp
@@ -80,6 +80,8 @@
   const auto own = state_.Digest();
   if (aDigest.historyComplete) {
     state_.History().OnCompletePeer();
+  } else if (aDigest.routes > 0) {
+    state_.History().OnIncompletePeer(aIp);
   }
   if (aDigest.routes == own.routes && aDigest.HasOtherHistoryThan(own) &&
       now >= nextHistoryPull_) {
@@ -139,6 +141,17 @@
     nextReport_ = now + kDomainReportPeriod;
     ReportDomain(aPort);
   }
+  if (reannounceUntil_ && now < *reannounceUntil_ && now >= nextReannounce_) {
+    nextReannounce_ = now + kReannouncePeriod;
+    Reannounce(aPort);
+  }
+}
+
+auto PeerExchange::Reannounce(RelayPort& aPort) -> void
+{
+  auto peers = plan_.IsFullMesh() ? KnownPeers() : NearPeers();
+  std::erase_if(peers, [this](auto aIp) { return peers_.Find(aIp); });
+  SendToAll(peers, PeerMessage{ host_.MakeHeartbeat() }, aPort);
 }
 
 auto PeerExchange::SendHeartbeats(RelayPort& aPort) -> void
@@ -212,6 +225,10 @@
 
 auto PeerExchange::Announce(RelayPort& aPort) -> void
 {
+  if (!reannounceUntil_) {
+    reannounceUntil_ = clock_.Now() + kReannounceTime;
+    nextReannounce_ = clock_.Now() + kReannouncePeriod;
+  }
   auto peers = plan_.IsFullMesh() ? KnownPeers() : NearPeers();
   const auto far = plan_.SampleDomains(kFarAnnouncements);
   peers.insert(far.begin(), far.end());
--- a/src/relay/peer_exchange.h
+++ b/src/relay/peer_exchange.h
@@ -67,6 +67,8 @@
   auto ProbeFar(RelayPort& aPort) -> void;
   // Tells the other domains of this one, if this process is drawn.
   auto ReportDomain(RelayPort& aPort) -> void;
+  // Announces this process to peers that it has not heard.
+  auto Reannounce(RelayPort& aPort) -> void;
   auto MakeDomainReport() const -> DomainReport;
   // Tells the near peers of state that came from another domain.
   auto PassOnState(RelayPort& aPort) -> void;
@@ -91,6 +93,8 @@
   TimePoint nextReport_;
   TimePoint passedOnAt_;
   TimePoint nextHistoryPull_;
+  std::optional<TimePoint> reannounceUntil_; // nothing: not announced yet
+  TimePoint nextReannounce_;
   // Since when a far peer is known to have newer state; nothing: none has.
   std::optional<TimePoint> behindSince_;
 };
--- a/src/relay/pull_schedule.cpp
+++ b/src/relay/pull_schedule.cpp
@@ -2,8 +2,6 @@
 
 #include "relay/limits.h"
 
-#include <algorithm>
-
 namespace damaskwalk {
 
 PullSchedule::PullSchedule(const Clock& aClock)
@@ -11,17 +9,23 @@
 {
 }
 
-auto PullSchedule::Begin(std::uint32_t aPeer) -> bool
+auto PullSchedule::Begin(std::uint32_t aPeer, bool aUrgent) -> bool
 {
   const auto now = clock_.Now();
-  const bool replyPending =
-    std::ranges::any_of(running_, [now](const auto& aEntry) {
-      return now - aEntry.second < kNextPullDelay;
-    });
-  if (replyPending || running_.size() >= kMaxConcurrentPulls) {
+  const auto delay = aUrgent ? kNextUrgentPullDelay : kNextPullDelay;
+  std::size_t running = 0;
+  bool replyPending = false;
+  for (const auto& [peer, pull] : running_) {
+    if (aUrgent && !pull.urgent) {
+      continue;
+    }
+    ++running;
+    replyPending |= now - pull.began < delay;
+  }
+  if (replyPending || running >= kMaxConcurrentPulls) {
     return false;
   }
-  return running_.try_emplace(aPeer, now).second;
+  return running_.try_emplace(aPeer, Pull{ now, aUrgent }).second;
 }
 
 auto PullSchedule::End(std::uint32_t aPeer) -> void
--- a/src/relay/pull_schedule.h
+++ b/src/relay/pull_schedule.h
@@ -17,13 +17,21 @@
 public:
   explicit PullSchedule(const Clock& aClock);
 
+  // @param aUrgent the process has no state yet. Such a pull waits only briefly
+  // for replies of other peers, which may not run.
   // @return false if enough pulls are running, or one from this peer is.
-  auto Begin(std::uint32_t aPeer) -> bool;
+  auto Begin(std::uint32_t aPeer, bool aUrgent = false) -> bool;
   auto End(std::uint32_t aPeer) -> void;
 
 private:
+  struct Pull
+  {
+    TimePoint began;
+    bool urgent = false;
+  };
+
   const Clock& clock_;
-  std::unordered_map<std::uint32_t, TimePoint> running_; // start of each pull
+  std::unordered_map<std::uint32_t, Pull> running_; // by peer
 };
 
 } // namespace damaskwalk
--- a/src/relay/route_history.cpp
+++ b/src/relay/route_history.cpp
@@ -28,10 +28,23 @@
 auto RouteHistory::OnCompletePeer() -> void
 {
   if (!IsSettled()) {
+    heardComplete_ = true;
     settledAt_ = clock_.Now() + kHistoryPullPeriod;
   }
 }
 
+auto RouteHistory::OnIncompletePeer(std::uint32_t aIp) -> void
+{
+  if (heardComplete_ || IsSettled()) {
+    return;
+  }
+  unknowing_.insert(aIp);
+  if (settledAt_ && unknowing_.size() >= kMinUnknowingPeers) {
+    settledAt_ = clock_.Now();
+    unknowing_.clear();
+  }
+}
+
 auto RouteHistory::IsSettled() const -> bool
 {
   return IsComplete() || (settledAt_ && clock_.Now() >= *settledAt_);
--- a/src/relay/route_history.h
+++ b/src/relay/route_history.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace damaskwalk {
@@ -45,6 +46,8 @@
   auto OnFirstRoutes() -> void;
   // A peer with a complete history was heard, and is asked for it.
   auto OnCompletePeer() -> void;
+  // A peer that has routes but no complete history was heard.
+  auto OnIncompletePeer(std::uint32_t aIp) -> void;
   // Routes came into force in place of others.
   auto OnRoutes(const RouteTable& aFormer, const RouteTable& aNew) -> void;
   // @param aTook time since the report was made.
@@ -70,6 +73,8 @@
   Millis lifetime_;
   TimePoint knownSince_;
   std::optional<TimePoint> settledAt_; // nothing: no routes yet
+  bool heardComplete_ = false;
+  std::set<std::uint32_t> unknowing_; // peers, until the history is settled
   bool complete_ = false;
   // By address and service: when the route ceased to name it.
   std::map<std::pair<Endpoint, ServiceId>, TimePoint> former_;
--- a/src/relay_node/relay_peers.cpp
+++ b/src/relay_node/relay_peers.cpp
@@ -91,7 +91,7 @@
 
 auto RelayProcess::PullState(std::uint32_t aIp) -> void
 {
-  StartPull(aIp);
+  StartPull(aIp, !state_.HasState());
 }
 
 auto RelayProcess::OnBalancer(std::uint32_t aIp) -> void
--- a/src/relay_node/relay_process.cpp
+++ b/src/relay_node/relay_process.cpp
@@ -325,7 +325,7 @@
     std::uniform_int_distribution<std::size_t> pick(0,
                                                     settings_.seeds.size() - 1);
     std::random_device random;
-    StartPull(settings_.seeds[pick(random)]);
+    StartPull(settings_.seeds[pick(random)], true);
   }
   if (stopping_) {
     CheckStop();
--- a/src/relay_node/relay_process.h
+++ b/src/relay_node/relay_process.h
@@ -133,7 +133,8 @@
   auto ServePeers() -> Task;
   auto ServePeer(boost::asio::ip::tcp::socket aSocket) -> Task;
   auto PullFrom(std::uint32_t aIp) -> Task;
-  auto StartPull(std::uint32_t aIp) -> void;
+  // @param aUrgent see PullSchedule::Begin.
+  auto StartPull(std::uint32_t aIp, bool aUrgent) -> void;
   auto ReadStore(ReadCause aCause) -> Task;
   // @return true if other routes or evacuations came into force.
   auto OnOperatorRead(Decoded<OperatorState>& aRead) -> bool;
--- a/src/relay_node/relay_state.cpp
+++ b/src/relay_node/relay_state.cpp
@@ -59,9 +59,9 @@
   co_await WriteBulk(stream, reply);
 }
 
-auto RelayProcess::StartPull(std::uint32_t aIp) -> void
+auto RelayProcess::StartPull(std::uint32_t aIp, bool aUrgent) -> void
 {
-  if (aIp == settings_.peers.ip || !pullSchedule_.Begin(aIp)) {
+  if (aIp == settings_.peers.ip || !pullSchedule_.Begin(aIp, aUrgent)) {
     return;
   }
   asio::co_spawn(init_.io, PullFrom(aIp), asio::detached);
--- a/tests/relay_state_test.cpp
+++ b/tests/relay_state_test.cpp
@@ -184,6 +184,21 @@
   EXPECT_TRUE(pulls.Begin(2)) << "the overdue pull must not block others";
 }
 
+// After a loss of power the seeds may start last. A peer that announces itself
+// is asked soon, although no seed answers.
+TEST(PullSchedule, SilentSeedsDoNotDelayAProcessWithoutState)
+{
+  ManualClock clock;
+  PullSchedule pulls(clock);
+  for (std::uint32_t seed = 1; seed <= 3; ++seed) {
+    EXPECT_TRUE(pulls.Begin(seed, true));
+    EXPECT_FALSE(pulls.Begin(9, true));
+    clock.Advance(kNextUrgentPullDelay);
+  }
+  EXPECT_TRUE(pulls.Begin(9, true));
+  EXPECT_FALSE(pulls.Begin(10, true));
+}
+
 TEST(PullSchedule, ConcurrentPullsAreLimited)
 {
   ManualClock clock;
--- a/tests/route_history_test.cpp
+++ b/tests/route_history_test.cpp
@@ -118,6 +118,29 @@
   EXPECT_FALSE(started.IsComplete());
 }
 
+// Many processes that started together need not wait for one that knows. Few
+// may be a planned restart of several.
+TEST(RouteHistory, SettlesAtOnceIfManyDoNotKnow)
+{
+  ManualClock clock;
+  RouteHistory started(clock);
+  started.OnFirstRoutes();
+  for (std::uint32_t ip = 1; ip < kMinUnknowingPeers; ++ip) {
+    started.OnIncompletePeer(ip);
+    started.OnIncompletePeer(ip);
+  }
+  EXPECT_FALSE(started.IsSettled());
+  started.OnIncompletePeer(kMinUnknowingPeers);
+  EXPECT_TRUE(started.IsSettled());
+  RouteHistory told(clock);
+  told.OnFirstRoutes();
+  told.OnCompletePeer();
+  for (std::uint32_t ip = 1; ip <= 2 * kMinUnknowingPeers; ++ip) {
+    told.OnIncompletePeer(ip);
+  }
+  EXPECT_FALSE(told.IsSettled());
+}
+
 // Reports from a process that was suspended, or with a wrong age, add nothing.
 TEST(RouteHistory, IgnoresReportsThatAreTooOldOrOutOfRange)
 {
