--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -85,6 +85,14 @@
 // after this delay another peer is asked as well.
 constexpr Millis kNextPullDelay{ 100 };
 constexpr std::size_t kMaxConcurrentPulls = 4;
+// The same for a process without state. Seeds that do not run leave one of the
+// concurrent pulls to peers that announce themselves.
+constexpr Millis kNextUrgentPullDelay{ 30 };
+// A process that has started announces itself again to peers that it has not
+// heard, with this period and for this long: after a loss of power they start
+// within a second of each other.
+constexpr Millis kReannouncePeriod{ 100 };
+constexpr Millis kReannounceTime{ 1000 };
 
 // Changes of the targets that a process can pass on one by one: those of the
 // last minutes.
@@ -105,6 +113,9 @@
 // A process that starts waits this long for a peer that knows which services
 // routes named before, until it calls a flow lost.
 constexpr Millis kHistorySettleTime{ 60 };
+// It waits no longer when this many peers do not know either. Fewer are
+// restarted at a time by planned work.
+constexpr std::size_t kMinUnknowingPeers = 12;
 // Shortest time between two pulls of a peer's route history.
 constexpr Millis kHistoryPullPeriod{ 1000 };
 // Idle timeout until a configuration states one.
@@ -139,6 +150,18 @@
 constexpr Millis kDefaultRouteTimeout{ 5000 };
 // Latency objective of routes that state none.
 constexpr Millis kDefaultLatencyObjective{ 250 };
+// Admissions per caller are counted in two windows of this length that
+// alternate, so that a caller's share recovers within a second.
+constexpr Millis kCallerShareWindow{ 500 };
+// Admissions are counted for this long after a first packet waited: both
+// windows.
+constexpr Millis kCallerShareMemory = 2 * kCallerShareWindow;
+// Counters per window, about 2 KB. A caller that has more than 2/128 of the
+// admissions is recognized for certain, however many callers there are.
+constexpr std::size_t kCallerShareCounters = 128;
+// While several priorities wait, one in this many admissions goes to the less
+// urgent ones: 12.5%, which leaves the most urgent 87.5% of the capacity.
+constexpr std::uint32_t kAdmissionsPerFloor = 8;
 // Most agents that a first packet may visit.
 constexpr std::uint8_t kMaxFirstPacketHops = 6;
 // Most agents that a later packet may visit while its flow is searched for.
@@ -173,6 +196,10 @@
 // its VM is mostly gone as well.
 constexpr std::uint32_t kMaxRoundsForGone = 1;
 constexpr Millis kFlowQueryLifetime{ 3000 };
+// Most flows whose queries a starting agent holds until it has state. About
+// 1,600 flows were searched for at once after a power failure; limits the held
+// datagrams to 3 MB.
+constexpr std::size_t kMaxHeldQueries = 2048;
 // A domain answers for itself after this time at the latest, within which a
 // backend server returns a packet.
 constexpr Millis kDomainAnswerTimeout{ 60 };
@@ -218,4 +245,28 @@
 constexpr std::size_t kMaxNearCandidates = 3;
 constexpr std::size_t kMaxFarCandidates = 2;
 
+// Moving a first packet to an agent that answers it earlier. Random agents
+// compared in the own failure domain, and in all others together. All agents
+// that compare everything would choose the same one.
+constexpr std::size_t kMaxMoveCandidates = 3;
+// Most targets drawn to find them, so that the cost does not grow with the
+// fleet. In a fleet of 12 failure domains, 32 draws find an agent of the own
+// domain in 94% of the cases.
+constexpr std::size_t kMaxMoveDraws = 32;
+// A move must save at least the latency objective divided by this: estimates
+// from reports are inaccurate, and each move costs a hop.
+constexpr std::int64_t kMinMoveGainDivisor = 4;
+// Older load reports do not count. Agents report every 0.5 to 1 s.
+constexpr Millis kMaxMoveReportAge{ 1000 };
+// A report may have been sent, or be a repetition of one that was, this long
+// before it arrived, and lack first packets that were moved since.
+constexpr Millis kMoveReportDelay{ 50 };
+// Reports with greater values are invalid. No service takes a minute for a
+// request, and no agent's tables hold as many.
+constexpr std::chrono::microseconds kMaxReportedServiceTime{ 60000000 };
+constexpr std::uint32_t kMaxReportedInFlight = 100000;
+// Most moves that an agent remembers; it moves none beyond that. They are
+// forgotten after kMaxFirstPacketAge; each costs about 100 bytes.
+constexpr std::size_t kMaxRememberedMoves = 4096;
+
 } // namespace damaskwalk
--- a/src/relay/peer_exchange.h
+++ b/src/relay/peer_exchange.h
@@ -26,7 +26,7 @@
   // A balancer runs at the address.
   virtual auto OnBalancer(std::uint32_t aIp) -> void = 0;
   // An agent that this process hears is new or was restarted.
-  virtual auto OnAgentStarted() -> void = 0;
+  virtual auto OnAgentStarted(std::uint32_t aIp) -> void = 0;
 };
 
 // Single threaded; no sockets, all time from the clock.
@@ -67,6 +67,8 @@
   auto ProbeFar(RelayPort& aPort) -> void;
   // Tells the other domains of this one, if this process is drawn.
   auto ReportDomain(RelayPort& aPort) -> void;
+  // Announces this process to peers that it has not heard.
+  auto Reannounce(RelayPort& aPort) -> void;
   auto MakeDomainReport() const -> DomainReport;
   // Tells the near peers of state that came from another domain.
   auto PassOnState(RelayPort& aPort) -> void;
@@ -91,6 +93,8 @@
   TimePoint nextReport_;
   TimePoint passedOnAt_;
   TimePoint nextHistoryPull_;
+  std::optional<TimePoint> reannounceUntil_; // nothing: not announced yet
+  TimePoint nextReannounce_;
   // Since when a far peer is known to have newer state; nothing: none has.
   std::optional<TimePoint> behindSince_;
 };
--- a/src/relay_node/relay_metrics.cpp
+++ b/src/relay_node/relay_metrics.cpp
@@ -96,6 +96,14 @@
     "openings_deferred_total",
     "First packets left to their next copy, as their wait would be too long",
     counters.deferred);
+  count("openings_waited_for_share_total",
+        "First packets that later ones overtook, as their caller had more than "
+        "its share",
+        counters.waitedForShare);
+  count("openings_floor_total",
+        "First packets admitted before more urgent ones, so that none waits "
+        "indefinitely",
+        counters.floorAdmissions);
   count("openings_given_up_total",
         "First packets refused because their wait would be too long",
         counters.givenUp);
@@ -105,6 +113,9 @@
   count("openings_evacuated_total",
         "First packets passed on or refused, as the domain is evacuated",
         counters.evacuated);
+  count("openings_moved_total",
+        "First packets passed on so that they are answered in time",
+        counters.moved);
   count("packets_followed_total",
         "Packets passed on by a directory record",
         counters.followed);
--- a/src/relay_node/relay_peers.cpp
+++ b/src/relay_node/relay_peers.cpp
@@ -91,7 +91,7 @@
 
 auto RelayProcess::PullState(std::uint32_t aIp) -> void
 {
-  StartPull(aIp);
+  StartPull(aIp, !state_.HasState());
 }
 
 auto RelayProcess::OnBalancer(std::uint32_t aIp) -> void
@@ -101,11 +101,10 @@
   }
 }
 
-auto RelayProcess::OnAgentStarted() -> void
+auto RelayProcess::OnAgentStarted(std::uint32_t aIp) -> void
 {
   if (agent_) {
-    // It may have lost the directory records that it kept.
-    agent_->OnStateChanged();
+    agent_->OnAgentStarted(aIp, *this);
   }
 }
 
--- a/src/relay_node/relay_process.h
+++ b/src/relay_node/relay_process.h
@@ -125,7 +125,7 @@
   auto MakeHeartbeat() -> RelayHeartbeat override;
   auto PullState(std::uint32_t aIp) -> void override;
   auto OnBalancer(std::uint32_t aIp) -> void override;
-  auto OnAgentStarted() -> void override;
+  auto OnAgentStarted(std::uint32_t aIp) -> void override;
   auto ReportLoadTo(std::uint32_t aIp) -> void;
   auto AnnounceSelf() -> void;
 
@@ -133,7 +133,8 @@
   auto ServePeers() -> Task;
   auto ServePeer(boost::asio::ip::tcp::socket aSocket) -> Task;
   auto PullFrom(std::uint32_t aIp) -> Task;
-  auto StartPull(std::uint32_t aIp) -> void;
+  // @param aUrgent see PullSchedule::Begin.
+  auto StartPull(std::uint32_t aIp, bool aUrgent) -> void;
   auto ReadStore(ReadCause aCause) -> Task;
   // @return true if other routes or evacuations came into force.
   auto OnOperatorRead(Decoded<OperatorState>& aRead) -> bool;
--- a/tests/relay_model.h
+++ b/tests/relay_model.h
@@ -79,6 +79,8 @@
   // Runs due events and advances the clock by aFor.
   auto Run(Millis aFor) -> void;
 
+  // Source of the flows that are opened from now on.
+  auto SetCaller(std::uint32_t aNumber) -> void { caller_ = aNumber; }
   // Callers. Balancers are given by index.
   auto Open(std::size_t aService, std::size_t aBalancer) -> std::size_t;
   auto SendRequest(std::size_t aFlow, std::size_t aBalancer) -> void;
@@ -101,6 +103,13 @@
   // Faults. Target indices run over all services.
   auto RestartBalancer(std::size_t aBalancer) -> void;
   auto RestartAgent(std::size_t aTarget) -> void;
+  // Restarts the agent without routes, targets or route history; the next
+  // Publish brings routes and targets.
+  auto RestartAgentWithoutState(std::size_t aTarget) -> void;
+  // Gives the agent the route history of its peers.
+  auto GiveHistory(std::size_t aTarget) -> void;
+  // Sends a heartbeat of the agent now, as a process does that has got state.
+  auto Announce(std::size_t aTarget) -> void;
   // Makes the agent silent until it is restarted.
   auto StopAgent(std::size_t aTarget) -> void;
   // Sends the agent's last report, then stops it.
@@ -200,6 +209,7 @@
   std::uint32_t foreignPackets_ = 0;
   std::uint32_t longestPath_ = 0;
   std::uint16_t nextPort_ = 1000;
+  std::uint32_t caller_ = 0;
   std::priority_queue<Scheduled> due_;
   std::vector<std::unique_ptr<Target>> targets_;
   std::vector<std::unique_ptr<Node>> balancers_;
