Mend what two reviews found in state, history, limits and moves

Moves went to cold servers that are at their limit. - A change of the registration ended the cold phase after an evacuation. - Reported slots were believed whatever the registration says. - The hash of the history was computed for each log line; limits and ages from peers were not bounded; held queries of a whole domain were played again by all. - An agent that left the heartbeat plan before it was heard stayed silent.

Moves now need a route that states its objective. Tried and dropped: serving the newest opening first under overload.

--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -42,8 +42,8 @@
   std::uint64_t deferred = 0;        // wait too long; a retransmission follows
   std::uint64_t givenUp = 0;         // refused: no answer in time
   std::uint64_t redirected = 0;      // first packets sent to another agent
-  std::uint64_t evacuated = 0;       // redirected or refused: domain evacuated
   std::uint64_t moved = 0;           // of these, to have them answered in time
+  std::uint64_t evacuated = 0;       // redirected or refused: domain evacuated
   std::uint64_t followed = 0;        // later packets forwarded by a record
   std::uint64_t searched = 0;        // later packets forwarded without one
   std::uint64_t searchEnded = 0;
@@ -230,9 +230,8 @@
                   Packet& aPacket,
                   const RelayRoute& aRoute,
                   RelayPort& aPort) -> bool;
-  // Expected time to the answer of an opening that is queued now.
-  auto WaitInQueue(const WaitingOpening& aOpening) const
-    -> std::chrono::microseconds;
+  // Expected time to the answer of an opening behind this many queued ones.
+  auto WaitBehind(std::size_t aQueued) const -> std::chrono::microseconds;
   // True if the caller accepted another backend server's answer.
   auto OpenedElsewhere(const OwnFlow& aOwn, const Packet& aPacket) const
     -> bool;
--- a/src/relay/agent_relay_opening.cpp
+++ b/src/relay/agent_relay_opening.cpp
@@ -97,10 +97,13 @@
                             RelayPort& aPort) -> bool
 {
   // A queued flow keeps its place; its retransmission replaces the packet.
-  if (queue_.Contains(aOpening.flow)) {
+  // Without a stated objective there is nothing that a move could meet.
+  if (aRoute.latencyObjective.count() == 0 || queue_.Contains(aOpening.flow)) {
     return false;
   }
-  const auto agent = mover_.Choose(aOpening, Service(), WaitInQueue(aOpening));
+  const auto ahead =
+    queue_.CountAhead(aOpening, clock_.Now(), TimeToAnswerNow());
+  const auto agent = mover_.Choose(aOpening, Service(), WaitBehind(ahead));
   if (!agent) {
     return false;
   }
@@ -178,30 +181,24 @@
     meter_.InFlight() + awaitedRequests_, meter_.Slots(), meter_.ServiceTime());
 }
 
-auto AgentRelay::WaitInQueue(const WaitingOpening& aOpening) const
+auto AgentRelay::WaitBehind(std::size_t aQueued) const
   -> std::chrono::microseconds
 {
-  const auto ahead =
-    queue_.CountAhead(aOpening, clock_.Now(), TimeToAnswerNow());
-  return ExpectedWait(meter_.InFlight() + awaitedRequests_ + ahead,
-                      meter_.Slots(),
-                      meter_.ServiceTime());
+  const auto busy = meter_.InFlight() + awaitedRequests_;
+  return ExpectedWait(busy + aQueued, meter_.Slots(), meter_.ServiceTime()) +
+         coldStart_.TimeToAdmit(aQueued);
 }
 
 auto AgentRelay::CanBeServed(const WaitingOpening& aOpening) const -> bool
 {
   const auto now = clock_.Now();
-  const auto busy = meter_.InFlight() + awaitedRequests_;
   const auto service = meter_.ServiceTime();
-  const auto waitBehind = [&](std::size_t aQueued) {
-    return ExpectedWait(busy + aQueued, meter_.Slots(), service) +
-           coldStart_.TimeToAdmit(aQueued);
-  };
-  if (now + WaitInQueue(aOpening) <= aOpening.objectiveDeadline) {
+  const auto ahead = queue_.CountAhead(aOpening, now, TimeToAnswerNow());
+  if (now + WaitBehind(ahead) <= aOpening.objectiveDeadline) {
     return true;
   }
   // Late in any case: openings that come later and can be on time go first.
-  const auto wait = waitBehind(queue_.Size());
+  const auto wait = WaitBehind(queue_.Size());
   return now + wait < aOpening.expiresAt &&
          now + wait - service < aOpening.firstSentAt + kMaxFirstPacketAge;
 }
@@ -275,8 +272,8 @@
     return; // the route was removed while the opening was queued
   }
   const auto* cause = RegistrationRefusalCause(*route);
-  counters_.waitedForShare += aOpening.waitedForShare ? 1 : 0;
   if (!cause && meter_.AcceptsFlows()) {
+    counters_.waitedForShare += aOpening.waitedForShare ? 1 : 0;
     counters_.floorAdmissions += aOpening.takenByFloor ? 1 : 0;
     Admit(aOpening, aPort);
     return;
--- a/src/relay/agent_relay_search.cpp
+++ b/src/relay/agent_relay_search.cpp
@@ -142,8 +142,9 @@
     return flows_.contains(aPacket.flow) || CanAnswerQuery(aPacket);
   });
   for (const auto& query : ready) {
+    // Askers have mostly asked another agent of the domain since.
     for (const auto& [asker, wholeDomain] : query.askers) {
-      OnFlowQuery(asker, wholeDomain, query.packet->Get(), aPort);
+      OnFlowQuery(asker, false, query.packet->Get(), aPort);
     }
   }
 }
--- a/src/relay/cold_start_limit.cpp
+++ b/src/relay/cold_start_limit.cpp
@@ -28,18 +28,16 @@
   return flowsPerSecond_ > 0 && clock_.Now() < coldUntil_;
 }
 
-auto ColdStartLimit::AdmittedWithinWindow() const -> std::size_t
+auto ColdStartLimit::FlowsPerWindow() const -> std::size_t
 {
-  const auto oldest = clock_.Now() - kWindow;
-  const auto first = std::ranges::upper_bound(admitted_, oldest);
-  return static_cast<std::size_t>(admitted_.end() - first);
+  // A limit below one flow in the window still lets one through.
+  constexpr double kMost = 1e6;
+  return static_cast<std::size_t>(std::clamp(flowsPerSecond_, 1.0, kMost));
 }
 
 auto ColdStartLimit::Admits() const -> bool
 {
-  // A limit below one flow in the window still lets one through.
-  const double limit = std::max(1.0, flowsPerSecond_);
-  return !IsCold() || double(AdmittedWithinWindow()) + 1.0 <= limit;
+  return TimeToAdmit(0) == std::chrono::microseconds{ 0 };
 }
 
 auto ColdStartLimit::TimeToAdmit(std::size_t aAhead) const
@@ -49,14 +47,19 @@
   if (!IsCold()) {
     return std::chrono::microseconds{ 0 };
   }
-  const std::chrono::duration<double> paced{
-    double(AdmittedWithinWindow() + aAhead) / flowsPerSecond_
-  };
-  const auto wait =
-    paced > kWindow ? paced - kWindow : std::chrono::duration<double>{ 0 };
-  return std::min(
-    std::chrono::duration_cast<std::chrono::microseconds>(wait),
-    std::chrono::duration_cast<std::chrono::microseconds>(coldUntil_ - now));
+  const auto first = std::ranges::upper_bound(admitted_, now - kWindow);
+  const auto within = static_cast<std::size_t>(admitted_.end() - first);
+  const auto limit = FlowsPerWindow();
+  const auto windows = aAhead / limit;
+  const auto place = within + aAhead % limit;
+  // A flow opens a window after the one that it must not share it with.
+  auto opensAt = now + kWindow * static_cast<std::int64_t>(windows);
+  if (place >= limit) {
+    opensAt +=
+      *(first + static_cast<std::ptrdiff_t>(place - limit)) + kWindow - now;
+  }
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+    std::min(opensAt, coldUntil_) - now);
 }
 
 auto ColdStartLimit::OnAdmitted() -> void
--- a/src/relay/cold_start_limit.h
+++ b/src/relay/cold_start_limit.h
@@ -28,7 +28,7 @@
 
 private:
   auto IsCold() const -> bool;
-  auto AdmittedWithinWindow() const -> std::size_t;
+  auto FlowsPerWindow() const -> std::size_t;
 
   const Clock& clock_;
   double flowsPerSecond_ = 0; // 0: no limit
--- a/src/relay/evacuations.h
+++ b/src/relay/evacuations.h
@@ -36,15 +36,15 @@
 public:
   // Brings the set into force if its revision is newer.
   auto Update(EvacuationSet aSet) -> EvacuationChange;
-  // Takes over the revision of a peer that knows the same domains. A process
-  // with an older revision and other domains is then not believed.
+  // Takes over the revision of a peer that knows the same domains. Sets of
+  // older revisions are then ignored.
   // @param aDigest the peer's Digest.
   auto Confirm(std::uint64_t aRevision, std::uint64_t aDigest) -> void;
 
   auto Contains(DomainId aDomain) const -> bool;
   auto Current() const -> const EvacuationSet& { return set_; }
-  // Hash of the set; 0 while no domain is evacuated and no peer has told
-  // otherwise, so that deployments without evacuations send nothing.
+  // Hash of the set; 0 while no domain is evacuated and no peer reports a set,
+  // so that deployments without evacuations send nothing.
   auto Digest() const -> std::uint64_t;
 
 private:
--- a/src/relay/fleet_state.cpp
+++ b/src/relay/fleet_state.cpp
@@ -153,7 +153,14 @@
                             : TargetStanding::Leaving;
     if (!known.target.HasSameRegistration(target) ||
         known.standing != standing) {
-      known = { target, standing, now, readAt + target.coldRemaining };
+      // The server is cold for longer after an evacuation of its domain.
+      const bool sameStart =
+        known.target.startedAtMillis == target.startedAtMillis;
+      const auto coldUntil = readAt + target.coldRemaining;
+      known = { target,
+                standing,
+                now,
+                sameStart ? std::max(known.coldUntil, coldUntil) : coldUntil };
       changed = true;
     }
     fresh.erase(found);
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -113,9 +113,11 @@
 // A process that starts waits this long for a peer that knows which services
 // routes named before, until it calls a flow lost.
 constexpr Millis kHistorySettleTime{ 60 };
-// It waits no longer when this many peers do not know either. Fewer are
-// restarted at a time by planned work.
-constexpr std::size_t kMinUnknowingPeers = 12;
+// It waits no longer when this many peers do not know either and none does.
+// Fewer are restarted at a time by planned work.
+constexpr std::size_t kMinIncompletePeers = 12;
+// Most former services that a process keeps and sends.
+constexpr std::size_t kMaxFormerServices = 65536;
 // Shortest time between two pulls of a peer's route history.
 constexpr Millis kHistoryPullPeriod{ 1000 };
 // Idle timeout until a configuration states one.
--- a/src/relay/opening_mover.cpp
+++ b/src/relay/opening_mover.cpp
@@ -134,6 +134,12 @@
       peer->load.service != aService || !IsInRange(peer->load)) {
     return nullptr;
   }
+  // A cold server with a limit reports little load although it takes few flows.
+  const auto* limits = state_.LimitsOf(aService);
+  if (limits && limits->coldFlowsPerSecond > 0 &&
+      clock_.Now() < aKnown.coldUntil) {
+    return nullptr;
+  }
   return order_.AcceptsNewFlows(aKnown) ? peer : nullptr;
 }
 
@@ -145,8 +151,10 @@
     service = microseconds{ static_cast<std::int64_t>(double(service.count()) *
                                                       kColdFactor) };
   }
+  auto load = aPeer.load;
+  load.slots = aKnown.target.slots;
   return ExpectedAnswerTime(
-    aPeer.load, MovedSince(aKnown.target.agent.ip, aPeer.loadAt), service);
+    load, MovedSince(aKnown.target.agent.ip, aPeer.loadAt), service);
 }
 
 auto OpeningMover::MovedSince(std::uint32_t aIp, TimePoint aReportedAt) const
--- a/src/relay/peer_exchange.cpp
+++ b/src/relay/peer_exchange.cpp
@@ -57,6 +57,9 @@
   if ((isNew && isNear) || aHeartbeat.wantsReply) {
     aPort.SendToPeer(aIp, PeerMessage{ host_.MakeHeartbeat() });
   }
+  if (aHeartbeat.digest.historyComplete && !aHeartbeat.stopping) {
+    state_.History().OnCompletePeer();
+  }
   const auto ageBefore = state_.Age();
   state_.Confirm(aHeartbeat.digest);
   // Far agents answer a balancer's first packets and probes. An agent asks
@@ -68,7 +71,8 @@
   }
   if (!aHeartbeat.stopping && aHeartbeat.digest.IsNewerThan(state_.Digest())) {
     OnNewerState(aIp, isNear || isAnnouncement);
-  } else if (!aHeartbeat.stopping && isNear) {
+  } else if (!aHeartbeat.stopping &&
+             (isNear || !state_.History().IsComplete())) {
     PullHistory(aIp, aHeartbeat.digest);
   }
 }
@@ -78,9 +82,7 @@
 {
   const auto now = clock_.Now();
   const auto own = state_.Digest();
-  if (aDigest.historyComplete) {
-    state_.History().OnCompletePeer();
-  } else if (aDigest.routes > 0) {
+  if (!aDigest.historyComplete && aDigest.routes > 0) {
     state_.History().OnIncompletePeer(aIp);
   }
   if (aDigest.routes == own.routes && aDigest.HasOtherHistoryThan(own) &&
--- a/src/relay/peer_messages.cpp
+++ b/src/relay/peer_messages.cpp
@@ -4,6 +4,8 @@
 #include "wire/codec.h"
 #include "wire/packed.h"
 
+#include <algorithm>
+#include <cmath>
 #include <istream>
 #include <ostream>
 
@@ -23,9 +25,8 @@
 constexpr std::size_t kMaxRoutes = 65536;
 constexpr std::size_t kMaxTargets = 65536;
 constexpr std::size_t kMaxServicesPerRoute = 64;
-constexpr std::size_t kMaxEvacuatedDomains = 256;
+constexpr std::size_t kMaxEvacuatedDomains = 4096;
 constexpr std::size_t kMaxServiceLimits = 65536;
-constexpr std::size_t kMaxFormerServices = 65536;
 
 } // namespace
 
@@ -425,6 +426,19 @@
   }
 }
 
+auto BoundLimits(StateReply& aReply) -> void
+{
+  constexpr Millis kMaxColdStart = std::chrono::hours{ 24 };
+  for (auto& limits : aReply.limits) {
+    for (auto& limit : limits) {
+      limit.coldStart = std::clamp(limit.coldStart, Millis{ 0 }, kMaxColdStart);
+      const bool valid =
+        std::isfinite(limit.coldFlowsPerSecond) && limit.coldFlowsPerSecond > 0;
+      limit.coldFlowsPerSecond = valid ? limit.coldFlowsPerSecond : 0;
+    }
+  }
+}
+
 } // namespace
 
 auto EncodePeerMessage(const PeerMessage& aMessage) -> std::string
@@ -572,6 +586,7 @@
     BOOST_LEAF_CHECK(UnpackInto(reply));
   }
   ReplaceUnknownWords(reply);
+  BoundLimits(reply);
   return reply;
 }
 
--- a/src/relay/peer_table.cpp
+++ b/src/relay/peer_table.cpp
@@ -100,7 +100,7 @@
   const auto* peer = Find(aIp);
   if (!peer) {
     const auto expected = expected_.find(aIp);
-    return expected != expected_.end() &&
+    return IsWatched(aIp) && expected != expected_.end() &&
            now - expected->second > kMaxMissedHeartbeats * period_;
   }
   const bool missed = IsWatched(aIp) && now - peer->lastHeartbeatAt >
--- a/src/relay/route_history.h
+++ b/src/relay/route_history.h
@@ -44,7 +44,8 @@
   auto SetComplete() -> void { complete_ = true; }
   // The first routes came into force.
   auto OnFirstRoutes() -> void;
-  // A peer with a complete history was heard, and is asked for it.
+  // A peer with a complete history was heard, and is asked for it. Nothing is
+  // settled until it has answered, for a second at most.
   auto OnCompletePeer() -> void;
   // A peer that has routes but no complete history was heard.
   auto OnIncompletePeer(std::uint32_t aIp) -> void;
@@ -59,22 +60,25 @@
 
   // True if every former service that may still hold flows is known.
   auto IsComplete() const -> bool;
-  // True if it is complete, or if no peer has a complete one: every process
-  // was restarted. Peers answer a process that starts within a few
-  // milliseconds.
+  // True if it is complete, or if no peer with a complete one was heard soon
+  // after the start: every process was restarted. Peers answer a process that
+  // starts within a few milliseconds.
   auto IsSettled() const -> bool;
   auto FormerServices(const Endpoint& aAddress) const -> std::vector<ServiceId>;
   auto Report() const -> RouteHistoryReport;
   // Hash of the former services, independent of their ages; 0: there are none.
-  auto Hash() const -> std::uint64_t;
+  auto Hash() const -> std::uint64_t { return hash_; }
 
 private:
+  auto UpdateHash() -> void;
+
   const Clock& clock_;
   Millis lifetime_;
   TimePoint knownSince_;
   std::optional<TimePoint> settledAt_; // nothing: no routes yet
   bool heardComplete_ = false;
-  std::set<std::uint32_t> unknowing_; // peers, until the history is settled
+  std::uint64_t hash_ = 0;
+  std::set<std::uint32_t> incompletePeers_; // until the history is settled
   bool complete_ = false;
   // By address and service: when the route ceased to name it.
   std::map<std::pair<Endpoint, ServiceId>, TimePoint> former_;
--- a/src/relay/state_transfer.cpp
+++ b/src/relay/state_transfer.cpp
@@ -112,15 +112,17 @@
 auto StateTransfer::Apply(StateReply aReply, Millis aTook) -> bool
 {
   bool changed = false;
-  for (const auto& history : aReply.history) {
-    changed |= state_.History().Merge(history, aTook);
-  }
   for (auto& table : aReply.routes) {
     if (!aReply.limits.empty()) {
       table.limits = aReply.limits.front();
     }
     changed |= state_.UpdateRoutes(std::move(table));
   }
+  for (auto& history : aReply.history) {
+    // The services of the sender's own routes are not in its history.
+    history.complete &= aReply.digest.routes == state_.Routes().version;
+    changed |= state_.History().Merge(history, aTook);
+  }
   for (auto& set : aReply.evacuations) {
     changed |= !state_.UpdateEvacuations(std::move(set)).IsEmpty();
   }
--- a/src/relay_node/relay_state.cpp
+++ b/src/relay_node/relay_state.cpp
@@ -146,14 +146,15 @@
 auto RelayProcess::OnOperatorRead(Decoded<OperatorState>& aRead) -> bool
 {
   auto& routes = aRead.value.routes;
-  bool changed =
-    !state_.UpdateEvacuations(std::move(aRead.value.evacuations)).IsEmpty();
-  if (!routes && aRead.findings.empty()) {
-    return changed;
+  bool changed = false;
+  if (routes || !aRead.findings.empty()) {
+    const auto version = routes ? routes->version : state_.Routes().version;
+    routeFindings_.Update(version, aRead.findings);
+    changed = routes && state_.UpdateRoutes(std::move(*routes));
   }
-  const auto version = routes ? routes->version : state_.Routes().version;
-  routeFindings_.Update(version, aRead.findings);
-  changed |= routes && state_.UpdateRoutes(std::move(*routes));
+  // After the routes, whose limits say how long a server is then cold.
+  changed |=
+    !state_.UpdateEvacuations(std::move(aRead.value.evacuations)).IsEmpty();
   return changed;
 }
 
--- a/tests/caller_shares_test.cpp
+++ b/tests/caller_shares_test.cpp
@@ -267,6 +267,7 @@
     [&](std::uint32_t aCaller, std::uint32_t aPriority, Millis aLeft) {
       WaitingOpening opening;
       opening.flow = { { aCaller, 1000 }, { 0x0A010001, 80 } };
+      opening.firstSentAt = kStart;
       opening.objectiveDeadline = kStart + aLeft;
       opening.priority = aPriority;
       queue.Add(std::move(opening));
--- a/tests/relay_model_faults.cpp
+++ b/tests/relay_model_faults.cpp
@@ -144,6 +144,7 @@
     route.name = "route-" + std::to_string(service);
     route.address = AddressOf(service);
     route.timeout = routeTimeout_;
+    route.latencyObjective = kDefaultLatencyObjective;
     for (const auto named : routes_.at(service)) {
       route.services.push_back({ ServiceIdOf(ServiceName(named)), 1 });
     }
