Soak: change a split route's services and evacuate zones

Cause: the soak changed no route's services and evacuated no zone, so neither route histories nor evacuations ran against the real relay programs under faults. Its store did not report deleted keys to watches.

Packets may reach the servers of services that the route named before. The store's watch reports deleted keys.

--- a/soak/world.py
+++ b/soak/world.py
@@ -67,14 +67,17 @@
 
     def __init__(self):
         self.revision, self.items, self.mode = 1, {}, {}
+        self.deleted = {}  # revision of the deletion by key
 
     def put(self, key, value):
         self.revision += 1
+        self.deleted.pop(key, None)
         self.items[key] = (json.dumps(value).encode(), self.revision)
 
     def delete(self, key):
         if self.items.pop(key, None):
             self.revision += 1
+            self.deleted[key] = self.revision
 
     def answer(self, target):
         path, _, query = target.partition("?")
@@ -90,6 +93,10 @@
         if path == "/v1/kv-watch":
             events = [self.item(key) for key, (_, revision) in self.items.items()
                       if key.startswith(args["prefix"]) and revision > int(args["after"])]
+            events += [{"key": key, "revision": revision, "deleted": True}
+                       for key, revision in self.deleted.items()
+                       if key.startswith(args["prefix"]) and revision > int(args["after"])]
+            events.sort(key=lambda event: event["revision"])
             return 200, {"events": events, "asOf": self.revision}
         return 404, {}
 
@@ -170,12 +177,14 @@
         flow = (packet.src, packet.dst)
         if not packet.intact:
             world.add_problem("a backend server got a changed packet")
-        if world.service_of(packet.dst) not in (self.service, None):
+        if self.service not in world.services_of(packet.dst):
             world.add_problem(f"{self.service} got a packet for {packet.dst}")
         if packet.flags & SYN:
             if (self.draining and world.now() - self.drained_at > world.DRAIN_TIMEOUT_S
                     and world.is_calm(self.ip, world.DRAIN_TIMEOUT_S)):
                 world.add_problem(f"{self.id} got a first packet after it drained")
+            if flow not in self.half_open:
+                world.check_evacuation(self)
             seq = self.half_open.setdefault(flow, world.random.getrandbits(31))
             self.send(pack(SYN | ACK, packet.dst, packet.src, seq, packet.seq + 1))
             return
