--- a/src/core/log_timeline.cpp
+++ b/src/core/log_timeline.cpp
@@ -66,8 +66,10 @@
 auto IsProcessEvent(const LogLine& aLine) -> bool
 {
   static const std::set<std::string> kEvents = {
-    "started",    "stopping",       "stopped",  "pause_noticed",
-    "store_lost", "store_regained", "reloaded", "log_lines_dropped"
+    "started",           "stopping",          "stopped",
+    "pause_noticed",     "store_lost",        "store_regained",
+    "reloaded",          "log_lines_dropped", "evacuation_in_force",
+    "evacuation_lifted",
   };
   return kEvents.contains(aLine.event);
 }
