--- a/bench/bench_decisions.cpp
+++ b/bench/bench_decisions.cpp
@@ -4,9 +4,9 @@
 #include "balancer/balancer.h"
 #include "core/admission.h"
 #include "core/placement.h"
-#include "relay/opening_queue.h"
 #include "relay/limits.h"
 #include "relay/opening_mover.h"
+#include "relay/opening_queue.h"
 
 #include <benchmark/benchmark.h>
 
