Report the store's era, restores and ignored reads

Nothing told a read that is taken from one that is ignored: store_regained follows both. The client reads Store-Era; a process logs store_restored when it rises, and store_reads_ignored / store_reads_taken when reads begin and cease to be older than its state; gauge store_era, counter store_reads_ignored_total; explain shows the events. Logic unchanged.

--- a/src/core/log_timeline.cpp
+++ b/src/core/log_timeline.cpp
@@ -69,7 +69,8 @@
     "started",           "stopping",          "stopped",
     "pause_noticed",     "store_lost",        "store_regained",
     "reloaded",          "log_lines_dropped", "evacuation_in_force",
-    "evacuation_lifted",
+    "evacuation_lifted", "store_restored",    "store_reads_ignored",
+    "store_reads_taken",
   };
   return kEvents.contains(aLine.event);
 }
--- a/src/relay_node/relay_metrics.cpp
+++ b/src/relay_node/relay_metrics.cpp
@@ -206,6 +206,12 @@
   list.Gauge("peers", "Relays heard from", double(peers_.Peers().size()));
   list.Counter(
     "store_calls_total", "Calls to the store", double(init_.source.Calls()));
+  list.Gauge("store_era",
+             "Era of the store; rises each time that it is restored",
+             double(init_.source.Era()));
+  list.Counter("store_reads_ignored_total",
+               "Reads that were older than the state in force",
+               double(ignoredReads_));
   list.Counter("unexpected_errors_total",
                "Exceptions that ended the handling of one message or tick",
                double(guard_.Count()));
--- a/src/relay_node/relay_process.h
+++ b/src/relay_node/relay_process.h
@@ -140,6 +140,9 @@
   auto OnOperatorRead(Decoded<OperatorState>& aRead) -> bool;
   auto OnStoreError(const char* aWhat, StateSourceError aError) -> void;
   auto OnStoreReadSucceeded() -> void;
+  // Reports a restored store, and a read that is older than the own state.
+  // @param aRevision at which the targets were read.
+  auto OnTargetsRead(std::uint64_t aRevision) -> void;
   auto OnStateChanged(const char* aCause) -> void;
   // Logs evacuations that began or ended since the last call.
   auto LogEvacuations(const char* aCause) -> void;
@@ -193,6 +196,9 @@
   std::array<std::uint64_t, kReadCauses> storeCalls_{}; // by cause
   bool readingStore_ = false;
   bool storeLost_ = false;
+  std::uint32_t storeEra_ = 0; // as logged last
+  std::uint64_t ignoredReads_ = 0;
+  bool ignoringReads_ = false;
   bool stopping_ = false;
   TimePoint stopBegan_;
   FaultGuard guard_;
--- a/src/relay_node/relay_state.cpp
+++ b/src/relay_node/relay_state.cpp
@@ -116,6 +116,7 @@
       std::chrono::duration_cast<Millis>(init_.clock.Now() - began);
     const auto& read = std::get<Decoded<TargetSet>>(targets);
     targetFindings_.Update(read.value.revision, read.findings);
+    OnTargetsRead(read.value.revision);
     changed |= state_.UpdateTargets(read.value, took);
   }
   if (succeeded && wantsRoutes) {
@@ -178,6 +179,37 @@
   }
 }
 
+auto RelayProcess::OnTargetsRead(std::uint64_t aRevision) -> void
+{
+  const auto era = init_.source.Era();
+  const auto known = state_.Targets().revision;
+  if (era != storeEra_) {
+    if (storeEra_ != 0) {
+      init_.log.Write(EventLevel::Warning,
+                      Event("store_restored")
+                        .With("era", era)
+                        .With("era_before", storeEra_)
+                        .With("revision", aRevision)
+                        .With("revision_known", known)
+                        .With("age_ms", state_.Digest().age.count())
+                        .Text());
+    }
+    storeEra_ = era;
+  }
+  const bool ignored = aRevision < known;
+  ignoredReads_ += ignored ? 1 : 0;
+  if (ignored != std::exchange(ignoringReads_, ignored)) {
+    init_.log.Write(ignored ? EventLevel::Warning : EventLevel::Info,
+                    Event(ignored ? "store_reads_ignored" : "store_reads_taken")
+                      .With("era", era)
+                      .With("revision", aRevision)
+                      .With("revision_known", known)
+                      .With("ignored", ignoredReads_)
+                      .With("age_ms", state_.Digest().age.count())
+                      .Text());
+  }
+}
+
 auto RelayProcess::OnStateChanged(const char* aCause) -> void
 {
   std::size_t open = 0;
