--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -10,6 +10,10 @@
 //   PUT /vms                     sets the list, visible after --list-lag
 //   PUT /mode?is=ok|down|stale|slow   stale: the document that was current when
 //                                     the mode was set
+//   PUT /copy                         copies the document
+//   PUT /restore                      goes back to the copy: its version is given
+//                                     out again, in the next era, and the ETag is
+//                                     "ERA-VERSION" from then on
 
 #include "core/clock.h"
 #include "http_server.h"
@@ -113,7 +117,9 @@
     const auto end = clock_.Now() + Millis{ wait };
     const auto match = std::string(aRequest[http::field::if_none_match]);
     const auto tag = [this] {
-      return "\"" + std::to_string(ServedDocument().version) + "\"";
+      const auto version = std::to_string(ServedDocument().version);
+      return "\"" + (era_ > 0 ? std::to_string(era_) + "-" : "") + version +
+             "\"";
     };
     while (match == tag() && clock_.Now() < end && mode_ != "down") {
       co_await Sleep(Millis{ 10 });
@@ -133,6 +139,11 @@
   {
     if (aTarget.starts_with("/document")) {
       current_ = { current_.version + 1, aBody };
+    } else if (aTarget.starts_with("/copy")) {
+      copy_ = current_;
+    } else if (aTarget.starts_with("/restore")) {
+      current_ = copy_;
+      ++era_;
     } else if (aTarget.starts_with("/vms")) {
       co_await Sleep(lag_);
       vmList_ = aBody;
@@ -151,6 +162,8 @@
   SystemClock clock_;
   PublishedDocument current_;
   PublishedDocument stale_;
+  PublishedDocument copy_;
+  std::uint32_t era_ = 0;
   std::string vmList_ = "[]";
   std::string mode_ = "ok";
   std::uint64_t calls_ = 0;
--- /dev/null
+++ b/standins/store.h
@@ -0,0 +1,150 @@
+#pragma once
+
+// Stand-in for the platform's store, in the process of the test: ranges and
+// watches over HTTP, one revision counter, copies from which it is restored.
+
+#include "http_server.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace damaskwalk::standin {
+
+class Store
+{
+public:
+  explicit Store(asio::io_context& aIo)
+    : acceptor_(aIo, { asio::ip::address_v4::loopback(), 0 })
+  {
+    asio::co_spawn(aIo,
+                   AcceptConnections(
+                     acceptor_,
+                     [this](Stream&,
+                            const BeastRequest& aRequest,
+                            BeastResponse& aResponse) -> asio::awaitable<bool> {
+                       Answer(std::string(aRequest.target()), aResponse);
+                       co_return false;
+                     }),
+                   asio::detached);
+  }
+
+  auto Address() const -> Endpoint
+  {
+    const auto local = acceptor_.local_endpoint();
+    return { local.address().to_v4().to_uint(), local.port() };
+  }
+
+  auto Put(const std::string& aKey, std::string aValue) -> void
+  {
+    ++state_.revision;
+    state_.items[aKey] = { std::move(aValue), state_.revision };
+    state_.history.push_back({ aKey, state_.revision, false });
+  }
+  auto Delete(const std::string& aKey) -> void
+  {
+    if (state_.items.erase(aKey) > 0) {
+      ++state_.revision;
+      state_.history.push_back({ aKey, state_.revision, true });
+    }
+  }
+
+  auto Copy() -> void { copy_ = state_; }
+  // Everything written since the copy is lost.
+  auto Restore() -> void
+  {
+    state_ = copy_;
+    ++era_;
+  }
+
+  auto Revision() const -> std::uint64_t { return state_.revision; }
+  auto Era() const -> std::uint32_t { return era_; }
+  auto Calls() const -> std::uint64_t { return calls_; }
+
+private:
+  struct Item
+  {
+    std::string value;
+    std::uint64_t revision = 0;
+  };
+  struct Change
+  {
+    std::string key;
+    std::uint64_t revision = 0;
+    bool deleted = false;
+  };
+  struct State
+  {
+    std::uint64_t revision = 1;
+    std::map<std::string, Item> items;
+    std::vector<Change> history;
+  };
+
+  static auto ToBase64(const std::string& aText) -> std::string
+  {
+    namespace base64 = boost::beast::detail::base64;
+    std::string encoded(base64::encoded_size(aText.size()), '\0');
+    encoded.resize(base64::encode(encoded.data(), aText.data(), aText.size()));
+    return encoded;
+  }
+
+  auto ToJson(const std::string& aKey) const -> boost::json::object
+  {
+    const auto& item = state_.items.at(aKey);
+    return { { "key", aKey },
+             { "value", ToBase64(item.value) },
+             { "revision", item.revision },
+             { "created", item.revision },
+             { "lease", 0 } };
+  }
+
+  auto Answer(const std::string& aTarget, BeastResponse& aResponse) -> void
+  {
+    ++calls_;
+    aResponse.set("Store-Era", std::to_string(era_));
+    const auto prefix = QueryParameter(aTarget, "prefix", "");
+    if (aTarget.starts_with("/v1/kv-range")) {
+      boost::json::array items;
+      for (const auto& [key, item] : state_.items) {
+        if (key.starts_with(prefix)) {
+          items.push_back(ToJson(key));
+        }
+      }
+      aResponse.body() = boost::json::serialize(boost::json::object{
+        { "items", items }, { "truncated", false }, { "asOf", Revision() } });
+      return;
+    }
+    const auto after = std::stoull(QueryParameter(aTarget, "after", "0"));
+    if (after > state_.revision) {
+      aResponse.result(http::status::gone);
+      return;
+    }
+    boost::json::array events;
+    for (const auto& change : state_.history) {
+      if (change.revision <= after || !change.key.starts_with(prefix)) {
+        continue;
+      }
+      if (change.deleted) {
+        events.push_back({ { "key", change.key },
+                           { "revision", change.revision },
+                           { "deleted", true } });
+      } else if (state_.items.contains(change.key)) {
+        events.push_back(ToJson(change.key));
+      }
+    }
+    aResponse.body() = boost::json::serialize(
+      boost::json::object{ { "events", events }, { "asOf", Revision() } });
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  State state_;
+  State copy_;
+  std::uint32_t era_ = 1;
+  std::uint64_t calls_ = 0;
+};
+
+} // namespace damaskwalk::standin
