Order what is read from the store by era and revision

Cause: a revision was taken for a global order, in the targets, the evacuations, the digests between peers and their replies. After a restore the store gives out lower revisions; all of what was read there was ignored as late, and the age of the state was not renewed. Now a StoreRevision has the era and the number, and a higher era goes first. Peers send the era in appended fields. A process of the last release sends none: its number counts until a restore is noticed, which spreads with the digests; after that it neither overwrites nor confirms what has an era. Two more cover the last release's messages.

--- a/src/relay/agent_relay_opening.cpp
+++ b/src/relay/agent_relay_opening.cpp
@@ -334,7 +334,7 @@
                .With("agent", aNext ? ToText(*aNext) : std::string("none"))
                .With("hops", aPacket.tag.hops)
                .With("routes", state_.Routes().version)
-               .With("targets", state_.Targets().revision)
+               .With("targets", state_.Targets().revision.number)
                .With("age_ms", state_.Digest().age.count())
                .Text());
   if (!aNext) {
--- a/src/relay/agent_relay_search.cpp
+++ b/src/relay/agent_relay_search.cpp
@@ -204,7 +204,7 @@
                  .With("hops", packet.tag.hops)
                  .With("took_ms", lost.took.count())
                  .With("rounds", lost.rounds)
-                 .With("targets", state_.Targets().revision)
+                 .With("targets", state_.Targets().revision.number)
                  .With("age_ms", state_.Digest().age.count())
                  .Text());
     aPort.ResetCaller(packet.flow, packet.acknowledgement);
@@ -230,7 +230,7 @@
                  .With("every_agent_asked", false)
                  .With("missing", undecided.missing.size())
                  .With("silent_agents", names)
-                 .With("targets", state_.Targets().revision)
+                 .With("targets", state_.Targets().revision.number)
                  .With("age_ms", state_.Digest().age.count())
                  .Text());
   }
@@ -281,7 +281,7 @@
                .With("hops", aPacket.tag.hops)
                .With("silent_agents", silent.empty() ? "none" : silent)
                .With("views_agree", agree)
-               .With("targets", state_.Targets().revision)
+               .With("targets", state_.Targets().revision.number)
                .With("age_ms", state_.Digest().age.count())
                .Text());
 }
--- a/src/relay/balancer_relay.cpp
+++ b/src/relay/balancer_relay.cpp
@@ -74,7 +74,7 @@
                .With("expected_us", choice.expected.count())
                .With("copy", excluded.IsValid())
                .With("routes", state_.Routes().version)
-               .With("targets", state_.Targets().revision)
+               .With("targets", state_.Targets().revision.number)
                .With("age_ms", state_.Digest().age.count())
                .Text());
   aPort.SendToAgent(choice.agent, aPacket);
@@ -117,7 +117,7 @@
                .With("flow", ToText(aPacket.flow))
                .With("cause", aCause)
                .With("routes", state_.Routes().version)
-               .With("targets", state_.Targets().revision)
+               .With("targets", state_.Targets().revision.number)
                .With("age_ms", state_.Digest().age.count())
                .Text());
   aPort.ResetCaller(aPacket.flow, 0);
--- a/src/relay/evacuations.cpp
+++ b/src/relay/evacuations.cpp
@@ -14,10 +14,10 @@
   return (sum << 1) | 1;
 }
 
-auto Evacuations::Update(EvacuationSet aSet) -> EvacuationChange
+auto Evacuations::Update(EvacuationSet aSet, bool aRestored) -> EvacuationChange
 {
   EvacuationChange change;
-  if (aSet.revision <= set_.revision) {
+  if (!aSet.revision.IsAfter(set_.revision, aRestored)) {
     return change;
   }
   std::ranges::sort(aSet.domains);
@@ -37,12 +37,14 @@
   return change;
 }
 
-auto Evacuations::Confirm(std::uint64_t aRevision, std::uint64_t aDigest)
-  -> void
+auto Evacuations::Confirm(const StoreRevision& aRevision,
+                          std::uint64_t aDigest,
+                          bool aRestored) -> void
 {
   isUsed_ |= aDigest != 0;
-  if (aDigest == hash_ && set_.revision > 0) {
-    set_.revision = std::max(set_.revision, aRevision);
+  if (aDigest == hash_ && set_.revision.number > 0 &&
+      aRevision.IsAfter(set_.revision, aRestored)) {
+    set_.revision = aRevision;
   }
 }
 
--- a/src/relay/evacuations.h
+++ b/src/relay/evacuations.h
@@ -5,6 +5,7 @@
 
 #include "core/clock.h"
 #include "core/types.h"
+#include "relay/store_revision.h"
 
 #include <string>
 #include <vector>
@@ -14,7 +15,7 @@
 // Every evacuated domain at one revision of the store.
 struct EvacuationSet
 {
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   std::vector<std::string> domains; // sorted, each once
 
   // Hash of the domains; never 0.
@@ -35,11 +36,14 @@
 {
 public:
   // Brings the set into force if its revision is newer.
-  auto Update(EvacuationSet aSet) -> EvacuationChange;
+  // @param aRestored see StoreRevision::IsAfter.
+  auto Update(EvacuationSet aSet, bool aRestored) -> EvacuationChange;
   // Takes over the revision of a peer that knows the same domains. Sets of
   // older revisions are then ignored.
   // @param aDigest the peer's Digest.
-  auto Confirm(std::uint64_t aRevision, std::uint64_t aDigest) -> void;
+  auto Confirm(const StoreRevision& aRevision,
+               std::uint64_t aDigest,
+               bool aRestored) -> void;
 
   auto Contains(DomainId aDomain) const -> bool;
   auto Current() const -> const EvacuationSet& { return set_; }
--- a/src/relay/fleet_state.cpp
+++ b/src/relay/fleet_state.cpp
@@ -96,7 +96,8 @@
 
 auto FleetState::UpdateEvacuations(EvacuationSet aSet) -> EvacuationChange
 {
-  auto change = evacuations_.Update(std::move(aSet));
+  ObserveEra(aSet.revision.era);
+  auto change = evacuations_.Update(std::move(aSet), storeRestored_);
   if (change.IsEmpty()) {
     return change;
   }
@@ -122,7 +123,8 @@
 {
   const auto now = clock_.Now();
   const auto readAt = now - aReadAge;
-  if (hasTargets_ && aSet.revision < targets_.revision) {
+  ObserveEra(aSet.revision.era);
+  if (IsStale(aSet.revision)) {
     return false;
   }
   confirmedAt_ = hasTargets_ ? std::max(confirmedAt_, readAt) : readAt;
@@ -184,11 +186,31 @@
 
 auto FleetState::Confirm(const StateDigest& aDigest) -> void
 {
-  if (hasTargets_ && aDigest.targetsHash == targetsHash_) {
-    targets_.revision = std::max(targets_.revision, aDigest.targets);
+  ObserveEra(aDigest.targets.era);
+  storeRestored_ |= aDigest.storeRestored;
+  // After a restore, an earlier release goes on with the state of before it.
+  const bool isTrusted = aDigest.targets.era != 0 || !storeRestored_;
+  if (isTrusted && hasTargets_ && aDigest.targetsHash == targetsHash_) {
+    if (aDigest.targets.IsAfter(targets_.revision, storeRestored_)) {
+      targets_.revision = aDigest.targets;
+    }
     confirmedAt_ = std::max(confirmedAt_, clock_.Now() - aDigest.age);
   }
-  evacuations_.Confirm(aDigest.evacuations, aDigest.evacuationsHash);
+  evacuations_.Confirm(
+    aDigest.evacuations, aDigest.evacuationsHash, storeRestored_);
+}
+
+auto FleetState::IsStale(const StoreRevision& aRevision) const -> bool
+{
+  return hasTargets_ && targets_.revision.IsAfter(aRevision, storeRestored_);
+}
+
+auto FleetState::ObserveEra(std::uint32_t aEra) -> void
+{
+  if (aEra > storeEra_) {
+    storeRestored_ |= storeEra_ != 0;
+    storeEra_ = aEra;
+  }
 }
 
 auto FleetState::Tick() -> bool
@@ -224,7 +246,8 @@
            evacuations_.Current().revision,
            evacuations_.Digest(),
            history_.Hash(),
-           history_.IsComplete() };
+           history_.IsComplete(),
+           storeRestored_ };
 }
 
 auto FleetState::Age() const -> std::optional<Millis>
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -7,6 +7,7 @@
 #include "core/types.h"
 #include "relay/evacuations.h"
 #include "relay/route_history.h"
+#include "relay/store_revision.h"
 
 #include <memory>
 #include <optional>
@@ -89,7 +90,7 @@
 // Every registered backend server at one revision of the store.
 struct TargetSet
 {
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   std::vector<RelayTarget> targets;
 
   // Hash of what HasSameRegistration compares; independent of the order.
@@ -100,24 +101,36 @@
 struct StateDigest
 {
   DocumentVersion routes = 0;
-  std::uint64_t targets = 0; // revision at which the targets were read
+  StoreRevision targets; // at which the targets were read
   std::uint64_t targetsHash = 0;
   Millis age{ 0 }; // since a process read the targets from the store
   // Evacuations and route history. Earlier releases do not send these; then all
   // are 0.
-  std::uint64_t evacuations = 0; // revision at which they were read
+  StoreRevision evacuations; // at which they were read
   // 0: no domain is evacuated, and no peer says otherwise.
   std::uint64_t evacuationsHash = 0;
   std::uint64_t historyHash = 0; // 0: no former services
   bool historyComplete = false;
+  // The store was restored from a copy since the fleet started.
+  bool storeRestored = false;
 
   // True when the other process lacks newer routes, targets or evacuations.
   auto IsNewerThan(const StateDigest& aOther) const -> bool
   {
-    return routes > aOther.routes ||
-           (targets > aOther.targets && targetsHash != aOther.targetsHash) ||
-           (evacuations > aOther.evacuations &&
-            evacuationsHash != aOther.evacuationsHash);
+    return routes > aOther.routes || HasNewerTargetsThan(aOther) ||
+           HasNewerEvacuationsThan(aOther);
+  }
+  auto HasNewerTargetsThan(const StateDigest& aOther) const -> bool
+  {
+    return targetsHash != aOther.targetsHash &&
+           targets.IsAfter(aOther.targets,
+                           storeRestored || aOther.storeRestored);
+  }
+  auto HasNewerEvacuationsThan(const StateDigest& aOther) const -> bool
+  {
+    return evacuationsHash != aOther.evacuationsHash &&
+           evacuations.IsAfter(aOther.evacuations,
+                               storeRestored || aOther.storeRestored);
   }
   // True when the other process may lack former services of routes.
   auto HasOtherHistoryThan(const StateDigest& aOther) const -> bool
@@ -175,6 +188,10 @@
 
   auto HasState() const -> bool { return hasRoutes_ && hasTargets_; }
   auto Digest() const -> StateDigest;
+  // Highest era of the store that this process read or heard of; 0: none.
+  auto StoreEra() const -> std::uint32_t { return storeEra_; }
+  // True if what was read at the revision is older than the targets in force.
+  auto IsStale(const StoreRevision& aRevision) const -> bool;
   // Time since the targets were last confirmed by the store; nothing before the
   // first read.
   auto Age() const -> std::optional<Millis>;
@@ -213,6 +230,7 @@
 private:
   auto Rebuild() -> void;
   auto MarkEvacuated(KnownTarget& aKnown) const -> void;
+  auto ObserveEra(std::uint32_t aEra) -> void;
 
   const Clock& clock_;
   bool hasRoutes_ = false;
@@ -222,6 +240,8 @@
   Evacuations evacuations_;
   RouteHistory history_;
   std::uint64_t targetsHash_ = 0;
+  std::uint32_t storeEra_ = 0;
+  bool storeRestored_ = false;
   TimePoint confirmedAt_;
   std::vector<KnownTarget> known_;
   std::unordered_map<Endpoint, std::size_t, KeyHash> byAddress_;
--- a/src/relay/peer_messages.cpp
+++ b/src/relay/peer_messages.cpp
@@ -41,7 +41,7 @@
 template<class Archive>
 auto serialize(Archive& aArchive, StateDigest& aValue) -> void
 {
-  aArchive(aValue.routes, aValue.targets, aValue.targetsHash);
+  aArchive(aValue.routes, aValue.targets.number, aValue.targetsHash);
   serialize(aArchive, aValue.age);
 }
 
@@ -154,7 +154,7 @@
 auto serialize(Archive& aArchive, TargetSet& aValue) -> void
 {
   auto targets = Bounded<kMaxTargets>(aValue.targets);
-  aArchive(aValue.revision, targets);
+  aArchive(aValue.revision.number, targets);
 }
 
 // A text as an entry of a list.
@@ -174,7 +174,7 @@
 auto serialize(Archive& aArchive, TargetDelta& aValue) -> void
 {
   auto changed = Bounded<kMaxTargets>(aValue.changed);
-  aArchive(aValue.fromHash, aValue.toHash, aValue.revision, changed);
+  aArchive(aValue.fromHash, aValue.toHash, aValue.revision.number, changed);
   std::vector<NameEntry> names;
   for (auto& id : aValue.removed) {
     names.push_back({ std::move(id) });
@@ -195,7 +195,7 @@
     names.push_back({ std::move(domain) });
   }
   auto domains = Bounded<kMaxEvacuatedDomains>(names);
-  aArchive(aValue.revision, domains);
+  aArchive(aValue.revision.number, domains);
   aValue.domains.clear();
   for (auto& entry : names) {
     aValue.domains.push_back(std::move(entry.name));
@@ -243,21 +243,33 @@
   HistoryComplete = 1,
   HasHistory = 2,
   HasEvacuations = 4,
+  HasEra = 8,
+  StoreRestored = 16,
 };
 
+auto HasStoreEra(const StateDigest& aDigest) -> bool
+{
+  return aDigest.targets.era != 0 || aDigest.evacuations.era != 0;
+}
+
 auto save(OutArchive& aArchive, const LaterDigest& aValue) -> void
 {
   const auto& digest = aValue.digest;
   const auto flags = static_cast<std::uint8_t>(
     (digest.historyComplete ? HistoryComplete : 0) |
     (digest.historyHash != 0 ? HasHistory : 0) |
-    (digest.evacuationsHash != 0 ? HasEvacuations : 0));
+    (digest.evacuationsHash != 0 ? HasEvacuations : 0) |
+    (HasStoreEra(digest) ? HasEra : 0) |
+    (digest.storeRestored ? StoreRestored : 0));
   aArchive(flags);
   if (flags & HasHistory) {
     aArchive(digest.historyHash);
   }
   if (flags & HasEvacuations) {
-    aArchive(digest.evacuations, digest.evacuationsHash);
+    aArchive(digest.evacuations.number, digest.evacuationsHash);
+  }
+  if (flags & HasEra) {
+    aArchive(digest.targets.era, digest.evacuations.era);
   }
 }
 
@@ -270,8 +282,12 @@
     aArchive(digest.historyHash);
   }
   if (flags & HasEvacuations) {
-    aArchive(digest.evacuations, digest.evacuationsHash);
+    aArchive(digest.evacuations.number, digest.evacuationsHash);
   }
+  if (flags & HasEra) {
+    aArchive(digest.targets.era, digest.evacuations.era);
+  }
+  digest.storeRestored = flags & StoreRestored;
   digest.historyComplete = flags & HistoryComplete;
 }
 
@@ -539,8 +555,9 @@
 auto EncodeStateReply(const StateReply& aReply) -> std::string
 {
   // Earlier releases, which ask for nothing compact, refuse bytes at the end.
-  const bool hasOperations = !aReply.evacuations.empty() ||
-                             !aReply.limits.empty() || !aReply.history.empty();
+  const bool hasOperations =
+    !aReply.evacuations.empty() || !aReply.limits.empty() ||
+    !aReply.history.empty() || HasStoreEra(aReply.digest);
   if (aReply.deltas.empty() && aReply.packed.empty() && !hasOperations) {
     return Encode(aReply);
   }
@@ -553,7 +570,8 @@
   };
   return hasOperations ? compact(Bounded<1>(reply.evacuations),
                                  Bounded<1>(reply.limits),
-                                 Bounded<1>(reply.history))
+                                 Bounded<1>(reply.history),
+                                 LaterDigest{ reply.digest })
                        : compact();
 }
 
@@ -581,6 +599,12 @@
       ReadSingle(aArchive, reply.evacuations);
       ReadSingle(aArchive, reply.limits);
       ReadSingle(aArchive, reply.history);
+    },
+    [&reply](InArchive& aArchive) {
+      auto digest = reply.digest;
+      LaterDigest later{ digest };
+      aArchive(later);
+      reply.digest = digest;
     }));
   if (!reply.packed.empty()) {
     BOOST_LEAF_CHECK(UnpackInto(reply));
--- a/src/relay/state_transfer.cpp
+++ b/src/relay/state_transfer.cpp
@@ -8,6 +8,16 @@
 
 constexpr std::size_t kMaxPackedStates = 3;
 
+// Revision of targets in a reply. A packed set may be older than the revision
+// that confirmed it, which the digest has.
+auto RevisionOf(const StoreRevision& aSet, const StateDigest& aDigest)
+  -> StoreRevision
+{
+  return aDigest.targets.era != 0 || aDigest.targets.number > aSet.number
+           ? aDigest.targets
+           : aSet;
+}
+
 } // namespace
 
 StateTransfer::StateTransfer(FleetState& aState)
@@ -19,7 +29,7 @@
 {
   StateRequest request{ state_.Digest(), true, true };
   if (wantsWhole_) {
-    request.have.targets = 0;
+    request.have.targets = {};
     request.have.targetsHash = 0;
   }
   return request;
@@ -34,14 +44,17 @@
 {
   StateReply reply;
   reply.digest = state_.Digest();
+  if (!aRequest.acceptsOperations) {
+    reply.digest.targets.era = 0;
+    reply.digest.evacuations.era = 0;
+  }
   if (!state_.HasState()) {
     return reply;
   }
   if (reply.digest.routes > aRequest.have.routes) {
     reply.routes.push_back(state_.Routes());
   }
-  if (reply.digest.targets > aRequest.have.targets &&
-      reply.digest.targetsHash != aRequest.have.targetsHash) {
+  if (reply.digest.HasNewerTargetsThan(aRequest.have)) {
     AddTargets(aRequest, reply);
   }
   if (aRequest.acceptsOperations) {
@@ -73,8 +86,7 @@
 {
   const auto& digest = aReply.digest;
   const auto& have = aRequest.have;
-  if (digest.evacuations > have.evacuations &&
-      digest.evacuationsHash != have.evacuationsHash) {
+  if (digest.HasNewerEvacuationsThan(have)) {
     aReply.evacuations.push_back(state_.CurrentEvacuations());
   }
   if (!aReply.routes.empty()) {
@@ -124,20 +136,21 @@
     changed |= state_.History().Merge(history, aTook);
   }
   for (auto& set : aReply.evacuations) {
+    set.revision.era = aReply.digest.evacuations.era;
     changed |= !state_.UpdateEvacuations(std::move(set)).IsEmpty();
   }
   const auto age = aReply.digest.age + aTook;
   for (auto& set : aReply.targets) {
     wantsWhole_ = false;
-    // A packed set may be older than the revision that confirmed it.
-    set.revision = std::max(set.revision, aReply.digest.targets);
+    set.revision = RevisionOf(set.revision, aReply.digest);
     changed |= state_.UpdateTargets(set, age);
   }
   for (const auto& delta : aReply.deltas) {
     if (delta.toHash == state_.Digest().targetsHash) {
       continue; // another peer was faster
     }
-    if (const auto set = ApplyDelta(state_.Targets(), delta)) {
+    if (auto set = ApplyDelta(state_.Targets(), delta)) {
+      set->revision = RevisionOf(set->revision, aReply.digest);
       changed |= state_.UpdateTargets(*set, age);
     } else {
       ++counts_.deltasRefused;
--- a/src/relay/target_log.cpp
+++ b/src/relay/target_log.cpp
@@ -48,7 +48,7 @@
 {
   const auto hash = aSet.Hash();
   if (!steps_.empty() && steps_.back().hash == hash) {
-    current_.revision = std::max(current_.revision, aSet.revision);
+    current_.revision = aSet.revision;
     return;
   }
   auto ids = ChangedIds(current_, aSet);
--- a/src/relay/target_log.h
+++ b/src/relay/target_log.h
@@ -17,7 +17,7 @@
 {
   std::uint64_t fromHash = 0;
   std::uint64_t toHash = 0;
-  std::uint64_t revision = 0; // of the later set
+  StoreRevision revision; // of the later set
   std::vector<RelayTarget> changed;
   std::vector<std::string> removed; // ids
 };
--- a/src/relay_node/interfaces.h
+++ b/src/relay_node/interfaces.h
@@ -103,9 +103,6 @@
     -> boost::asio::awaitable<ReadResult<Decoded<OperatorState>>> = 0;
   // Calls made so far, including failed ones.
   virtual auto Calls() const -> std::uint64_t = 0;
-  // Era of the store at its last response; it rises each time that the store is
-  // restored from an earlier copy. 0: no response so far, or none with an era.
-  virtual auto Era() const -> std::uint32_t = 0;
 };
 
 } // namespace damaskwalk
--- a/src/relay_node/relay_metrics.cpp
+++ b/src/relay_node/relay_metrics.cpp
@@ -193,13 +193,14 @@
   }
   const auto digest = state_.Digest();
   list.Gauge("routes_version", "Configuration in force", double(digest.routes));
-  list.Gauge("targets_revision", "Targets in force", double(digest.targets));
+  list.Gauge(
+    "targets_revision", "Targets in force", double(digest.targets.number));
   list.Gauge("evacuated_domains",
              "Failure domains whose servers get no new flows",
              double(state_.CurrentEvacuations().domains.size()));
   list.Gauge("evacuations_revision",
              "Revision of the store at which evacuations were read",
-             double(state_.CurrentEvacuations().revision));
+             double(state_.CurrentEvacuations().revision.number));
   list.Gauge("state_age_seconds",
              "Since the store confirmed the state",
              double(digest.age.count()) / 1000.0);
@@ -207,8 +208,11 @@
   list.Counter(
     "store_calls_total", "Calls to the store", double(init_.source.Calls()));
   list.Gauge("store_era",
-             "Era of the store; rises each time that it is restored",
-             double(init_.source.Era()));
+             "Highest known era of the store; rises when it is restored",
+             double(state_.StoreEra()));
+  list.Gauge("targets_era",
+             "Era of the store in which the targets in force were read",
+             double(digest.targets.era));
   list.Counter("store_reads_ignored_total",
                "Reads that were older than the state in force",
                double(ignoredReads_));
--- a/src/relay_node/relay_process.cpp
+++ b/src/relay_node/relay_process.cpp
@@ -311,6 +311,7 @@
       Reload("file_changed");
     }
   }
+  LogRestore();
   exchange_.Tick(*this);
   if (now >= nextTrafficLog_) {
     nextTrafficLog_ = now + kTrafficLogPeriod;
--- a/src/relay_node/relay_process.h
+++ b/src/relay_node/relay_process.h
@@ -140,9 +140,11 @@
   auto OnOperatorRead(Decoded<OperatorState>& aRead) -> bool;
   auto OnStoreError(const char* aWhat, StateSourceError aError) -> void;
   auto OnStoreReadSucceeded() -> void;
-  // Reports a restored store, and a read that is older than the own state.
+  // Logs when reads begin and cease to be older than the state in force.
   // @param aRevision at which the targets were read.
-  auto OnTargetsRead(std::uint64_t aRevision) -> void;
+  auto OnTargetsRead(const StoreRevision& aRevision) -> void;
+  // Logs a restore of the store that was noticed since the last call.
+  auto LogRestore() -> void;
   auto OnStateChanged(const char* aCause) -> void;
   // Logs evacuations that began or ended since the last call.
   auto LogEvacuations(const char* aCause) -> void;
--- a/src/relay_node/relay_state.cpp
+++ b/src/relay_node/relay_state.cpp
@@ -115,7 +115,7 @@
     const auto took =
       std::chrono::duration_cast<Millis>(init_.clock.Now() - began);
     const auto& read = std::get<Decoded<TargetSet>>(targets);
-    targetFindings_.Update(read.value.revision, read.findings);
+    targetFindings_.Update(read.value.revision.number, read.findings);
     OnTargetsRead(read.value.revision);
     changed |= state_.UpdateTargets(read.value, took);
   }
@@ -179,35 +179,39 @@
   }
 }
 
-auto RelayProcess::OnTargetsRead(std::uint64_t aRevision) -> void
+auto RelayProcess::OnTargetsRead(const StoreRevision& aRevision) -> void
 {
-  const auto era = init_.source.Era();
-  const auto known = state_.Targets().revision;
-  if (era != storeEra_) {
-    if (storeEra_ != 0) {
-      init_.log.Write(EventLevel::Warning,
-                      Event("store_restored")
-                        .With("era", era)
-                        .With("era_before", storeEra_)
-                        .With("revision", aRevision)
-                        .With("revision_known", known)
-                        .With("age_ms", state_.Digest().age.count())
-                        .Text());
-    }
-    storeEra_ = era;
-  }
-  const bool ignored = aRevision < known;
+  const bool ignored = state_.IsStale(aRevision);
   ignoredReads_ += ignored ? 1 : 0;
-  if (ignored != std::exchange(ignoringReads_, ignored)) {
-    init_.log.Write(ignored ? EventLevel::Warning : EventLevel::Info,
-                    Event(ignored ? "store_reads_ignored" : "store_reads_taken")
-                      .With("era", era)
-                      .With("revision", aRevision)
-                      .With("revision_known", known)
-                      .With("ignored", ignoredReads_)
-                      .With("age_ms", state_.Digest().age.count())
-                      .Text());
+  if (ignored == std::exchange(ignoringReads_, ignored)) {
+    return;
+  }
+  const auto& known = state_.Targets().revision;
+  init_.log.Write(ignored ? EventLevel::Warning : EventLevel::Info,
+                  Event(ignored ? "store_reads_ignored" : "store_reads_taken")
+                    .With("era", aRevision.era)
+                    .With("revision", aRevision.number)
+                    .With("era_known", known.era)
+                    .With("revision_known", known.number)
+                    .With("ignored", ignoredReads_)
+                    .With("age_ms", state_.Digest().age.count())
+                    .Text());
+}
+
+auto RelayProcess::LogRestore() -> void
+{
+  const auto before = std::exchange(storeEra_, state_.StoreEra());
+  if (before == 0 || before == storeEra_) {
+    return;
   }
+  init_.log.Write(EventLevel::Warning,
+                  Event("store_restored")
+                    .With("era", storeEra_)
+                    .With("era_before", before)
+                    .With("era_in_force", state_.Targets().revision.era)
+                    .With("revision_in_force", state_.Targets().revision.number)
+                    .With("age_ms", state_.Digest().age.count())
+                    .Text());
 }
 
 auto RelayProcess::OnStateChanged(const char* aCause) -> void
@@ -221,7 +225,8 @@
                   Event("state_in_force")
                     .With("cause", aCause)
                     .With("routes", digest.routes)
-                    .With("targets", digest.targets)
+                    .With("targets", digest.targets.number)
+                    .With("era", digest.targets.era)
                     .With("age_ms", digest.age.count())
                     .With("open_targets", open)
                     .With("known_targets", state_.KnownTargets().size())
@@ -246,7 +251,8 @@
                     Event(aEvent)
                       .With("domain", aDomain)
                       .With("cause", aCause)
-                      .With("revision", current.revision)
+                      .With("revision", current.revision.number)
+                      .With("era", current.revision.era)
                       .With("age_ms", state_.Digest().age.count())
                       .Text());
   };
--- a/tests/peer_exchange_test.cpp
+++ b/tests/peer_exchange_test.cpp
@@ -58,7 +58,7 @@
   // All processes learn the targets at once.
   auto Publish() -> void
   {
-    ++set_.revision;
+    ++set_.revision.number;
     for (auto& node : nodes_) {
       node->state.UpdateRoutes({ 1, Millis{ 0 }, {}, {} });
       node->state.UpdateTargets(set_, Millis{ 0 });
@@ -69,7 +69,7 @@
   // Only this process reads newer targets and announces them.
   auto PublishAt(std::size_t aNode) -> void
   {
-    ++set_.revision;
+    ++set_.revision.number;
     set_.targets.front().slots += 1;
     auto& node = *nodes_[aNode];
     node.state.UpdateTargets(set_, Millis{ 0 });
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -255,6 +255,66 @@
   }
 }
 
+// Guards against the lost state that processes of the last release, which send
+// no era, go on announcing. Before the restore what they read counts.
+TEST_F(RestoredStore, TheLastReleaseDoesNotBringTheLostStateBack)
+{
+  auto& reader = MakeProcess();
+  auto& earlier = MakeProcess();
+  auto& starting = MakeProcess();
+  store_.Copy();
+  reader.Read(io_);
+  auto lost = reader.state.Targets();
+  lost.revision = 5000;
+  lost.targets.pop_back();
+  earlier.state.UpdateRoutes({ 7, Millis{ 0 }, {}, {} });
+  earlier.state.UpdateTargets(lost, Millis{ 0 });
+  earlier.state.UpdateEvacuations({ 5000, { "zone-2" } });
+  reader.Hear(earlier);
+  EXPECT_EQ(reader.StandingOf(6), TargetStanding::Vanished);
+  EXPECT_TRUE(reader.IsEvacuated(2));
+  store_.Restore();
+  store_.Put("op/evacuate/zone-1", "{}");
+  reader.Read(io_);
+  starting.Hear(earlier);
+  starting.Hear(reader);
+  clock_.Advance(Millis{ 500 });
+  for (auto* process : { &reader, &starting }) {
+    process->Hear(earlier);
+    EXPECT_EQ(process->StandingOf(6), TargetStanding::Open);
+    EXPECT_TRUE(process->IsEvacuated(1));
+    EXPECT_GE(*process->state.Age(), Millis{ 500 });
+  }
+  earlier.state.UpdateTargets({ 5001, reader.state.Targets().targets },
+                              Millis{ 0 });
+  reader.Hear(earlier);
+  EXPECT_GE(*reader.state.Age(), Millis{ 500 }) << "confirmed by a lost read";
+}
+
+// Guards against bytes that releases before the last refuse, and against an era
+// that is lost on the way.
+TEST_F(RestoredStore, OnlyReleasesThatReadItGetTheEra)
+{
+  auto& reader = MakeProcess();
+  store_.Copy();
+  store_.Restore();
+  reader.Read(io_);
+  StateRequest request;
+  EXPECT_EQ(reader.transfer.MakeReply(request).digest.targets.era, 0U);
+  request.acceptsCompact = true;
+  request.acceptsOperations = true;
+  leaf::try_handle_all(
+    [&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(
+        reply,
+        DecodeStateReply(EncodeStateReply(reader.transfer.MakeReply(request))));
+      EXPECT_EQ(reply.digest.targets, reader.state.Digest().targets);
+      EXPECT_EQ(reply.digest.targets.era, 2U);
+      return {};
+    },
+    [] { FAIL() << "undecodable"; });
+}
+
 // Guards against a server that is believed ready again because the copy is
 // older than its draining.
 TEST_F(RestoredStore, ADrainingServerIsNotReadyAgainInTheCopy)
--- a/tests/state_transfer_test.cpp
+++ b/tests/state_transfer_test.cpp
@@ -194,7 +194,7 @@
       const auto other = random() % 4;
       switch (random() % 6) {
         case 0:
-          ++set.revision;
+          ++set.revision.number;
           if (!set.targets.empty() && random() % 2 == 0) {
             set.targets.erase(set.targets.begin() +
                               std::ptrdiff_t(random() % set.targets.size()));
@@ -227,7 +227,7 @@
           break;
       }
     }
-    ++set.revision;
+    ++set.revision.number;
     processes[0]->Take(set);
     for (int round = 0; round < 2; ++round) {
       for (int i = 1; i < 4; ++i) {
