Leave a gap between two reads of the store that renew nothing

A read that succeeded allowed the next one at once. While nothing that was read could be taken, each process read with every tick of 25 ms: 138 to 212 calls a process in three seconds. The cause of that state is fixed; this is the second half of the storm, and the same would happen with any other reason for which reads are not taken. ReadSchedule.AReadThatRenewsNothingDelaysTheNext: 160 reads in 4 s before, 20 now.

--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -70,6 +70,9 @@
 constexpr std::uint32_t kMaxStoreTakeoverRank = 10;
 // Wait after a failed read. The store counts refused calls as well.
 constexpr Millis kStoreRetryDelay{ 800 };
+// Shortest time between two reads of one process, also when a read renewed
+// nothing.
+constexpr Millis kMinStoreReadGap{ 200 };
 // A starting process asks its seeds first and reads the store after this time,
 // or up to twice as late. At the first start of a fleet nobody calls yet.
 constexpr Millis kFirstStartReadDelay{ 1500 };
--- a/src/relay/read_schedule.cpp
+++ b/src/relay/read_schedule.cpp
@@ -104,7 +104,8 @@
 {
   failed_ = !aSucceeded;
   reads_ += aSucceeded ? 1 : 0;
-  nextAllowed_ = clock_.Now() + (aSucceeded ? Millis{ 0 } : kStoreRetryDelay);
+  nextAllowed_ =
+    clock_.Now() + (aSucceeded ? kMinStoreReadGap : kStoreRetryDelay);
 }
 
 auto ReadSchedule::WantsRoutes() const -> bool
--- a/tests/relay_state_test.cpp
+++ b/tests/relay_state_test.cpp
@@ -250,6 +250,23 @@
   EXPECT_TRUE(schedule.IsDue(0, Millis{ 5000 }));
 }
 
+// Guards against reads at every tick when what is read is older than the state
+// in force, so that its age is not renewed.
+TEST(ReadSchedule, AReadThatRenewsNothingDelaysTheNext)
+{
+  ManualClock clock;
+  ReadSchedule schedule(clock, Millis{ 0 });
+  int reads = 0;
+  for (Millis passed{ 0 }; passed < Millis{ 4000 }; passed += Millis{ 25 }) {
+    if (schedule.IsDue(0, Millis{ 5000 } + passed)) {
+      ++reads;
+      schedule.OnReadFinished(true);
+    }
+    clock.Advance(Millis{ 25 });
+  }
+  EXPECT_EQ(reads, 4000 / kMinStoreReadGap.count());
+}
+
 TEST(PeerTable, AnAgentThatSendsNoLoadReportInTimeIsSilent)
 {
   ManualClock clock;
