Keep a draining server from becoming ready again in a restored store

The copy is older than the draining, or than the server's end: its registration is ready again until it is renewed or lapses, and with a state that is taken again it got new flows (DRAIN). A server that was registered as draining stays leaving until its next start, which the registration's start time tells; without one the store's word counts as before.

--- a/src/relay/fleet_state.cpp
+++ b/src/relay/fleet_state.cpp
@@ -150,29 +150,34 @@
       continue;
     }
     const auto& target = *found->second;
-    const auto standing = target.state == TargetState::Ready
-                            ? TargetStanding::Open
-                            : TargetStanding::Leaving;
+    const bool sameStart =
+      known.target.startedAtMillis == target.startedAtMillis;
+    // A server that drains does not become ready again before its next start. A
+    // restored store may have its registration of before.
+    const bool keepsDraining =
+      known.draining && sameStart && target.startedAtMillis != 0;
+    const bool draining = target.state == TargetState::Draining;
+    const auto standing = draining || keepsDraining ? TargetStanding::Leaving
+                                                    : TargetStanding::Open;
     if (!known.target.HasSameRegistration(target) ||
         known.standing != standing) {
       // The server is cold for longer after an evacuation of its domain.
-      const bool sameStart =
-        known.target.startedAtMillis == target.startedAtMillis;
       const auto coldUntil = readAt + target.coldRemaining;
       known = { target,
                 standing,
                 now,
-                sameStart ? std::max(known.coldUntil, coldUntil) : coldUntil };
+                sameStart ? std::max(known.coldUntil, coldUntil) : coldUntil,
+                draining || keepsDraining };
       changed = true;
     }
     fresh.erase(found);
   }
   for (const auto& [id, target] : fresh) {
-    const auto standing = target->state == TargetState::Ready
-                            ? TargetStanding::Open
-                            : TargetStanding::Leaving;
+    const bool draining = target->state == TargetState::Draining;
+    const auto standing =
+      draining ? TargetStanding::Leaving : TargetStanding::Open;
     known_.push_back(
-      { *target, standing, now, readAt + target->coldRemaining });
+      { *target, standing, now, readAt + target->coldRemaining, draining });
     changed = true;
   }
   targets_.revision = aSet.revision;
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -159,6 +159,7 @@
   TargetStanding standing = TargetStanding::Open;
   TimePoint since;        // last change of the standing or the registration
   TimePoint coldUntil;    // end of the slow phase after its start
+  bool draining = false;  // was registered as draining since its start
   bool evacuated = false; // its failure domain is evacuated
 };
 
