Hold evacuations that a restored store has lost until they are written again

The copy lacks an evacuation that was acknowledged after it, until the operator writes it again. Meanwhile its domain got new flows, in every process that read the store or heard of that read. Each process now keeps such a domain evacuated for 3 s from the time at which it learns of the new era; what the store has had again since then ends at its word. Peers exchange the store's set, so that none keeps another's hold alive. RestoredStore.ALostEvacuationHoldsUntilItIsWrittenAgain failed against the libraries of the commit before (zones 1 and 2 not evacuated) and passes; AnEvacuationThatWasWrittenAgainEndsAtOnce guards the other side.

--- a/src/relay/evacuations.cpp
+++ b/src/relay/evacuations.cpp
@@ -1,7 +1,10 @@
 #include "relay/evacuations.h"
 
+#include "relay/limits.h"
+
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace damaskwalk {
 
@@ -14,24 +17,55 @@
   return (sum << 1) | 1;
 }
 
+Evacuations::Evacuations(const Clock& aClock)
+  : clock_(aClock)
+{
+}
+
 auto Evacuations::Update(EvacuationSet aSet, bool aRestored) -> EvacuationChange
 {
-  EvacuationChange change;
   if (!aSet.revision.IsAfter(set_.revision, aRestored)) {
-    return change;
+    return {};
   }
   std::ranges::sort(aSet.domains);
   aSet.domains.erase(std::unique(aSet.domains.begin(), aSet.domains.end()),
                      aSet.domains.end());
-  std::ranges::set_difference(
-    aSet.domains, set_.domains, std::back_inserter(change.begun));
-  std::ranges::set_difference(
-    set_.domains, aSet.domains, std::back_inserter(change.ended));
+  const bool isOtherEra = set_.revision.number > 0 && aRestored &&
+                          aSet.revision.era != set_.revision.era;
+  // Within an era, the store's word counts on what it has had since.
+  const auto before = isOtherEra ? inForce_ : std::exchange(lost_, {});
+  lost_.clear();
+  std::ranges::set_difference(before, aSet.domains, std::back_inserter(lost_));
+  if (isOtherEra) {
+    lostUntil_ = clock_.Now() + kLostEvacuationHold;
+  }
   set_ = std::move(aSet);
   isUsed_ |= !set_.domains.empty();
   hash_ = set_.Hash();
+  return Apply();
+}
+
+auto Evacuations::Tick() -> EvacuationChange
+{
+  if (lost_.empty() || clock_.Now() < lostUntil_) {
+    return {};
+  }
+  lost_.clear();
+  return Apply();
+}
+
+auto Evacuations::Apply() -> EvacuationChange
+{
+  std::vector<std::string> domains;
+  std::ranges::set_union(set_.domains, lost_, std::back_inserter(domains));
+  EvacuationChange change;
+  std::ranges::set_difference(
+    domains, inForce_, std::back_inserter(change.begun));
+  std::ranges::set_difference(
+    inForce_, domains, std::back_inserter(change.ended));
+  inForce_ = std::move(domains);
   ids_.clear();
-  for (const auto& domain : set_.domains) {
+  for (const auto& domain : inForce_) {
     ids_.push_back(DomainIdOf(domain));
   }
   return change;
--- a/src/relay/fleet_state.cpp
+++ b/src/relay/fleet_state.cpp
@@ -71,6 +71,7 @@
 
 FleetState::FleetState(const Clock& aClock)
   : clock_(aClock)
+  , evacuations_(aClock)
   , history_(aClock)
 {
 }
@@ -98,8 +99,14 @@
 {
   ObserveEra(aSet.revision.era);
   auto change = evacuations_.Update(std::move(aSet), storeRestored_);
-  if (change.IsEmpty()) {
-    return change;
+  OnEvacuationChange(change);
+  return change;
+}
+
+auto FleetState::OnEvacuationChange(const EvacuationChange& aChange) -> void
+{
+  if (aChange.IsEmpty()) {
+    return;
   }
   const auto now = clock_.Now();
   for (auto& known : known_) {
@@ -110,7 +117,6 @@
       known.coldUntil = std::max(known.coldUntil, now + limits->coldStart);
     }
   }
-  return change;
 }
 
 auto FleetState::MarkEvacuated(KnownTarget& aKnown) const -> void
@@ -237,6 +243,9 @@
   if (removed > 0) {
     Rebuild();
   }
+  const auto evacuations = evacuations_.Tick();
+  OnEvacuationChange(evacuations);
+  changed |= !evacuations.IsEmpty();
   // Who is searched and watched depends on the route history.
   changed |= history_.Tick();
   return changed || removed > 0;
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -183,7 +183,8 @@
   // or evacuations.
   auto Confirm(const StateDigest& aDigest) -> void;
   // Marks vanished targets as gone after the grace period, and removes targets
-  // that have been gone for the retention time.
+  // that have been gone for the retention time. Ends evacuations that a
+  // restored store has lost.
   // @return true if a target changed.
   auto Tick() -> bool;
 
@@ -202,6 +203,11 @@
   {
     return evacuations_.Current();
   }
+  // Domains whose servers get no new flows, sorted.
+  auto EvacuatedDomains() const -> const std::vector<std::string>&
+  {
+    return evacuations_.InForce();
+  }
   // The configured idle timeout of flows, or the default if there is none.
   auto IdleTimeout() const -> Millis;
   auto FindRoute(const Endpoint& aAddress) const -> const RelayRoute*;
@@ -231,6 +237,7 @@
 private:
   auto Rebuild() -> void;
   auto MarkEvacuated(KnownTarget& aKnown) const -> void;
+  auto OnEvacuationChange(const EvacuationChange& aChange) -> void;
   auto ObserveEra(std::uint32_t aEra) -> void;
 
   const Clock& clock_;
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -16,6 +16,11 @@
 // A deregistered backend server may hold flows for as long as it drains.
 constexpr Millis kGoneTargetRetention{ 40000 };
 
+// After a restore of the store, an evacuation that it lost holds for this long,
+// as its operator writes it again. Ends within the time by which the end of an
+// evacuation has to be in force.
+constexpr Millis kLostEvacuationHold{ 3000 };
+
 // Heartbeats between relays. The period grows with the number of targets that a
 // process hears, so that it sends at most 100 heartbeats a second.
 constexpr Millis kRelayHeartbeatPeriod{ 500 };
--- a/src/relay_node/relay_metrics.cpp
+++ b/src/relay_node/relay_metrics.cpp
@@ -197,7 +197,7 @@
     "targets_revision", "Targets in force", double(digest.targets.number));
   list.Gauge("evacuated_domains",
              "Failure domains whose servers get no new flows",
-             double(state_.CurrentEvacuations().domains.size()));
+             double(state_.EvacuatedDomains().size()));
   list.Gauge("evacuations_revision",
              "Revision of the store at which evacuations were read",
              double(state_.CurrentEvacuations().revision.number));
--- a/src/relay_node/relay_state.cpp
+++ b/src/relay_node/relay_state.cpp
@@ -256,7 +256,8 @@
                       .With("age_ms", state_.Digest().age.count())
                       .Text());
   };
-  std::set<std::string> domains(current.domains.begin(), current.domains.end());
+  const auto& inForce = state_.EvacuatedDomains();
+  std::set<std::string> domains(inForce.begin(), inForce.end());
   for (const auto& domain : domains) {
     if (!evacuated_.contains(domain)) {
       log("evacuation_in_force", domain);
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -334,6 +334,56 @@
   EXPECT_NE(reader.StandingOf(2), TargetStanding::Open);
 }
 
+// Guards against new flows for an evacuated domain until the operator has
+// written its lost evacuation again.
+TEST_F(RestoredStore, ALostEvacuationHoldsUntilItIsWrittenAgain)
+{
+  auto& reader = MakeProcess();
+  auto& peer = MakeProcess();
+  store_.Copy();
+  store_.Put("op/evacuate/zone-1", "{}");
+  store_.Put("op/evacuate/zone-2", "{}");
+  reader.Read(io_);
+  peer.Hear(reader);
+  store_.Restore();
+  Advance(1);
+  reader.Read(io_);
+  peer.Hear(reader);
+  clock_.Advance(kLostEvacuationHold - Millis{ 100 });
+  store_.Put("op/evacuate/zone-1", "{}");
+  reader.Read(io_);
+  for (auto* process : { &reader, &peer }) {
+    process->state.Tick();
+    EXPECT_TRUE(process->IsEvacuated(1));
+    EXPECT_TRUE(process->IsEvacuated(2));
+  }
+  peer.Hear(reader);
+  clock_.Advance(Millis{ 100 });
+  for (auto* process : { &reader, &peer }) {
+    EXPECT_TRUE(process->state.Tick());
+    EXPECT_TRUE(process->IsEvacuated(1));
+    EXPECT_FALSE(process->IsEvacuated(2)) << "nobody wrote it again";
+  }
+}
+
+// Guards against an evacuation that is held although the store has had it again
+// since the restore, and then its end.
+TEST_F(RestoredStore, AnEvacuationThatWasWrittenAgainEndsAtOnce)
+{
+  auto& reader = MakeProcess();
+  store_.Copy();
+  store_.Put("op/evacuate/zone-1", "{}");
+  reader.Read(io_);
+  store_.Restore();
+  Advance(1);
+  reader.Read(io_);
+  store_.Put("op/evacuate/zone-1", "{}");
+  reader.Read(io_);
+  store_.Delete("op/evacuate/zone-1");
+  reader.Read(io_);
+  EXPECT_FALSE(reader.IsEvacuated(1));
+}
+
 // Guards against every process reading the store at once, again and again,
 // because no read renews the age of the state.
 TEST_F(RestoredStore, OneProcessGoesOnReading)
