Put documents of a restored platform in force by era and number

Publications with a number at or below the one in force were ignored everywhere, and the readers asked twice a second. A document's version now has the platform's era in its upper bits (ETag "ERA-NUMBER"), so that a later era's is higher in every process, message and log. The copy's own document, which is one that was replaced before, is held for 3 s, in every process that knows it, also when a process that started after the restore offers it. The restore is reported once (platform_restored) and the era is in status.

--- a/src/core/config.h
+++ b/src/core/config.h
@@ -81,6 +81,11 @@
 // An address that moved between services is not served for this long.
 constexpr std::chrono::milliseconds kAddressQuarantine{ 2000 };
 
+// After a restore of the platform, a document that was replaced before is not
+// taken for this long, as the newest is published again. Ends within the time
+// by which a publication has to be in force.
+constexpr std::chrono::milliseconds kRestoredDocumentHold{ 3000 };
+
 // Idempotency keys are kept this long; claims with an older issue time are
 // answered Unknown.
 constexpr std::chrono::minutes kKeyRetention{ 10 };
--- a/src/core/document_store.cpp
+++ b/src/core/document_store.cpp
@@ -1,5 +1,9 @@
 #include "core/document_store.h"
 
+#include "core/document_version.h"
+
+#include <algorithm>
+
 namespace damaskwalk {
 
 DocumentStore::DocumentStore(const Clock& aClock)
@@ -14,6 +18,9 @@
   if (aDocument->version <= current_->version) {
     return OfferResult::NotNewer;
   }
+  if (IsRestoredCopy(*aDocument)) {
+    return OfferResult::Held;
+  }
   const auto now = clock_.Now();
   std::erase_if(quarantine_,
                 [now](const auto& aEntry) { return aEntry.second < now; });
@@ -33,6 +40,31 @@
   return OfferResult::Accepted;
 }
 
+auto DocumentStore::IsRestoredCopy(const Document& aDocument) -> bool
+{
+  const auto era = DocumentEraOf(aDocument.version);
+  const bool isKnown =
+    aDocument.digest != current_->digest &&
+    std::ranges::any_of(history_, [&aDocument](const auto& aFormer) {
+      return aFormer->digest == aDocument.digest;
+    });
+  if (!isKnown || era == DocumentEraOf(current_->version)) {
+    return false;
+  }
+  if (era > DocumentEraOf(heldVersion_)) {
+    heldUntil_ = clock_.Now() + kRestoredDocumentHold;
+  }
+  heldVersion_ = std::max(heldVersion_, aDocument.version);
+  return clock_.Now() < heldUntil_;
+}
+
+auto DocumentStore::IsHeld(DocumentVersion aVersion) const -> bool
+{
+  const std::lock_guard lock(mutex_);
+  return aVersion > current_->version && aVersion <= heldVersion_ &&
+         clock_.Now() < heldUntil_;
+}
+
 auto DocumentStore::OfferText(std::string_view aText, DocumentVersion aVersion)
   -> OfferResult
 {
--- a/src/core/document_store.h
+++ b/src/core/document_store.h
@@ -17,10 +17,14 @@
 {
   Accepted,
   NotNewer, // the version in force is as high or higher
+  Held,     // an earlier document, from a restored platform
   Refused,  // invalid, digest mismatch, or delta from another version
 };
 
-// Holds the document in force, whose version only increases. Thread safe.
+// Holds the document in force, whose version only increases. A platform that is
+// restored from a copy offers an earlier document in a higher version; that one
+// comes into force only if nothing newer is published for
+// kRestoredDocumentHold. Thread safe.
 class DocumentStore
 {
 public:
@@ -38,6 +42,8 @@
 
   auto Current() const -> DocumentPtr;
   auto Version() const -> DocumentVersion;
+  // True if the version, or one above it, was offered and is held.
+  auto IsHeld(DocumentVersion aVersion) const -> bool;
   // True for kAddressQuarantine after the address moved to another service. No
   // new flow to the address is accepted meanwhile.
   auto IsQuarantined(const Endpoint& aAddress) const -> bool;
@@ -47,6 +53,9 @@
 
 private:
   auto Install(const DocumentPtr& aDocument) -> OfferResult;
+  // True if the document is one of before the one in force, which a restored
+  // platform has again since less than kRestoredDocumentHold.
+  auto IsRestoredCopy(const Document& aDocument) -> bool;
 
   static constexpr std::size_t kMaxHistory = 16;
 
@@ -57,6 +66,9 @@
   std::unordered_map<Endpoint, TimePoint, KeyHash> quarantine_;
   DocumentVersion refusedVersion_ = 0;
   std::vector<DocumentError> refusedErrors_;
+  // Highest version held after a restore, and until when its era's are.
+  DocumentVersion heldVersion_ = 0;
+  TimePoint heldUntil_;
 };
 
 } // namespace damaskwalk
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -1,5 +1,6 @@
 #include "runtime/node.h"
 
+#include "core/document_version.h"
 #include "runtime/log.h"
 
 #include <boost/leaf/handle_errors.hpp>
@@ -441,6 +442,7 @@
     status["address"] = ToText(Self());
     status["failure_domain"] = settings_.failureDomain;
     status["version"] = board_.documents.Version();
+    status["platform_era"] = DocumentEraOf(board_.documents.Version());
     status["refused_version"] = board_.documents.RefusedVersion();
     status["reader"] = IsReader();
     status["current"] = IsCurrent();
--- a/src/runtime/node.h
+++ b/src/runtime/node.h
@@ -150,6 +150,8 @@
   // Documents.
   auto Bootstrap() -> Task<void>;
   auto DocumentWatchLoop() -> Task<void>;
+  // Reports once that a restored platform has an earlier document again.
+  auto ReportHeldDocument(DocumentVersion aVersion) -> void;
   auto ListingLoop() -> Task<void>;
   auto ReadListing() -> Task<bool>;
   auto PullDocument(Endpoint aFrom) -> Task<void>;
@@ -186,6 +188,7 @@
   std::atomic<bool> stopping_{ false };
   std::atomic<bool> current_{ false };
   std::atomic<bool> pulling_{ false };
+  DocumentVersion reportedHeld_ = 0; // by DocumentWatchLoop
   std::atomic<bool> revalidating_{ false };
   std::atomic<TimePoint::rep> lastTick_{ 0 };
   std::atomic<TimePoint::rep> lastAdvert_{ 0 };
--- a/src/runtime/node_control.cpp
+++ b/src/runtime/node_control.cpp
@@ -2,6 +2,8 @@
 
 #include "runtime/node.h"
 
+#include "core/document_version.h"
+
 #include <glog/logging.h>
 
 #include "runtime/log.h"
@@ -12,6 +14,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace damaskwalk {
 
@@ -81,7 +84,8 @@
     return;
   }
   if (aEnvelope.version > own) {
-    if (!pulling_.exchange(true)) {
+    if (!board_.documents.IsHeld(aEnvelope.version) &&
+        !pulling_.exchange(true)) {
       Spawn(PullDocument(aEnvelope.sender));
     }
     return;
@@ -122,6 +126,7 @@
   Event("document_in_force")
     .With("version", now->version)
     .With("before", aBefore->version)
+    .With("era", DocumentEraOf(now->version))
     .Info();
   board_.journal.Add("event=document_in_force version=" +
                      std::to_string(now->version));
@@ -250,9 +255,12 @@
                          << document.version << ' ' << ToText(error);
           }
         }
+        if (result == OfferResult::Held) {
+          ReportHeldDocument(document.version);
+        }
         // The platform returned an older document than the one in force: its
-        // reads are stale.
-        return result == OfferResult::NotNewer;
+        // reads are stale, or it was restored.
+        return result == OfferResult::NotNewer || result == OfferResult::Held;
       },
       [] { return true; });
     NotifyDocumentChange(before);
@@ -262,6 +270,20 @@
   }
 }
 
+auto Node::ReportHeldDocument(DocumentVersion aVersion) -> void
+{
+  if (aVersion == std::exchange(reportedHeld_, aVersion)) {
+    return;
+  }
+  Event("platform_restored")
+    .With("version", DocumentNumberOf(aVersion))
+    .With("era", DocumentEraOf(aVersion))
+    .With("in_force", DocumentNumberOf(board_.documents.Version()))
+    .Warn();
+  board_.journal.Add("event=platform_restored era=" +
+                     std::to_string(DocumentEraOf(aVersion)));
+}
+
 auto Node::ListingLoop() -> Task<void>
 {
   for (;;) {
--- a/src/runtime/platform_client.cpp
+++ b/src/runtime/platform_client.cpp
@@ -1,6 +1,7 @@
 #include "runtime/platform_client.h"
 
 #include "core/config.h"
+#include "core/document_version.h"
 #include "runtime/bulk.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -10,8 +11,6 @@
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 
-#include <charconv>
-
 namespace damaskwalk {
 
 namespace asio = boost::asio;
@@ -25,17 +24,6 @@
 constexpr Millis kReadTimeout{ 2000 };
 constexpr std::size_t kMaxDocumentBytes = std::size_t{ 16 } * 1024 * 1024;
 
-// The ETag "42", quotes included, gives 42; a malformed one gives 0.
-auto ParseVersion(std::string_view aEtag) -> DocumentVersion
-{
-  while (!aEtag.empty() && aEtag.front() == '"') {
-    aEtag.remove_prefix(1);
-  }
-  DocumentVersion version = 0;
-  std::from_chars(aEtag.data(), aEtag.data() + aEtag.size(), version);
-  return version;
-}
-
 auto ParseListing(const std::string& aText)
   -> leaf::result<std::vector<ListedVm>>
 {
@@ -110,7 +98,7 @@
   -> asio::awaitable<leaf::result<PlatformDocument>>
 {
   const auto target = "/v1/document?wait_ms=" + std::to_string(aWait.count());
-  const auto etag = "\"" + std::to_string(aKnownVersion) + "\"";
+  const auto etag = ToDocumentTag(aKnownVersion);
   auto response = co_await Get(target, etag, kReadTimeout + aWait);
   if (response.status == 304) {
     co_return PlatformDocument{ false, aKnownVersion, {} };
@@ -118,7 +106,7 @@
   if (response.status == 0 || response.status >= 500) {
     co_return leaf::new_error(PlatformError::Unreachable);
   }
-  const auto version = ParseVersion(response.etag);
+  const auto version = ParseDocumentTag(response.etag);
   if (response.status != 200 || version == 0) {
     co_return leaf::new_error(PlatformError::BadAnswer);
   }
--- a/tests/document_test.cpp
+++ b/tests/document_test.cpp
@@ -1,6 +1,7 @@
 #include "test_support.h"
 
 #include "core/document_store.h"
+#include "core/document_version.h"
 #include "damaskwalk/damaskwalk.h"
 
 namespace damaskwalk {
@@ -163,6 +164,74 @@
   });
 }
 
+TEST(Document, TagsCarryTheEra)
+{
+  EXPECT_EQ(ParseDocumentTag("\"42\""), 42U);
+  EXPECT_EQ(ParseDocumentTag("\"2-42\""), MakeDocumentVersion(2, 42));
+  EXPECT_GT(MakeDocumentVersion(1, 1), MakeDocumentVersion(0, 1000));
+  for (const auto* tag : { "",
+                           "\"\"",
+                           "\"-\"",
+                           "\"2-\"",
+                           "\"-4\"",
+                           "\"2-4-1\"",
+                           "\"x\"",
+                           "\"65536-1\"",
+                           "\"281474976710656\"" }) {
+    EXPECT_EQ(ParseDocumentTag(tag), 0U) << tag;
+  }
+  Holds("a version's tag gives the version", [] {
+    const auto version =
+      MakeDocumentVersion(*rc::gen::inRange(0, 65536),
+                          *rc::gen::inRange<std::uint64_t>(0, 1ULL << 48));
+    RC_ASSERT(ParseDocumentTag(ToDocumentTag(version)) == version);
+  });
+}
+
+// Guards against publications that are ignored after a restore, as their number
+// is lower than that in force.
+TEST(Document, APublicationAfterARestoreComesIntoForce)
+{
+  const ManualClock clock;
+  DocumentStore store(clock);
+  store.OfferText(kValidDocument, 9);
+  const auto text =
+    std::string(kValidDocument) + "[caller c]\nowner = tower\nrate = 5/s\n";
+  EXPECT_EQ(store.OfferText(text, ParseDocumentTag("\"1-3\"")),
+            OfferResult::Accepted);
+}
+
+// Guards against the copy's earlier document, which comes from the platform and
+// from a process that started after the restore.
+TEST(Document, ARestoredCopyIsHeldUntilTheNewestIsPublishedAgain)
+{
+  const auto newest =
+    std::string(kValidDocument) + "[caller c]\nowner = tower\nrate = 5/s\n";
+  for (const bool isPublishedAgain : { true, false }) {
+    ManualClock clock;
+    DocumentStore store(clock);
+    DocumentStore starting(clock);
+    store.OfferText(kValidDocument, 3);
+    store.OfferText(newest, 4);
+    const auto copy = MakeDocumentVersion(1, 3);
+    EXPECT_EQ(store.OfferText(kValidDocument, copy), OfferResult::Held);
+    starting.OfferText(kValidDocument, copy);
+    EXPECT_EQ(store.OfferReply(starting.ReplySince(0)), OfferResult::Held);
+    EXPECT_TRUE(store.IsHeld(copy));
+    clock.Advance(kRestoredDocumentHold - Millis{ 1 });
+    EXPECT_EQ(store.OfferText(kValidDocument, copy), OfferResult::Held);
+    EXPECT_EQ(store.Version(), 4U);
+    if (isPublishedAgain) {
+      EXPECT_EQ(store.OfferText(newest, copy + 1), OfferResult::Accepted);
+      EXPECT_FALSE(store.IsHeld(copy));
+    } else {
+      clock.Advance(Millis{ 1 });
+      EXPECT_FALSE(store.IsHeld(copy));
+      EXPECT_EQ(store.OfferText(kValidDocument, copy), OfferResult::Accepted);
+    }
+  }
+}
+
 TEST(Document, RefusedTextLeavesTheVersionInForce)
 {
   const ManualClock clock;
