--- a/soak/world.py
+++ b/soak/world.py
@@ -14,8 +14,24 @@
 OUTBOUND_PORT, APP_PORT, STORE_PORT = 18162, 18165, 18169
 SYN, ACK, FIN, RST, RETURNED = 32, 128, 64, 2, 8
 HEADER = struct.Struct(">BBIIIIHH4s4sH")
-CALLER_IP = "127.0.40.1"
-STORE_IP = "127.0.30.1"
+
+
+class Network:
+    """Loopback addresses of one run, so that concurrent runs do not collide."""
+
+    number = 0
+
+    @classmethod
+    def ip(cls, host):
+        return f"127.{cls.number}.{host}"
+
+
+def caller_ip():
+    return Network.ip("40.1")
+
+
+def store_ip():
+    return Network.ip("30.1")
 
 
 def pack(flags, src, dst, seq, ack, data=b""):
@@ -146,7 +162,7 @@
             writer.close()
 
     async def listen_for(self, ip, port):
-        await asyncio.start_server(lambda r, w: self.serve(ip, r, w), STORE_IP, port)
+        await asyncio.start_server(lambda r, w: self.serve(ip, r, w), store_ip(), port)
 
 
 class Backend:
@@ -226,7 +242,7 @@
     """One flow that stays open and sends requests repeatedly."""
 
     def __init__(self, world, port, address):
-        self.world, self.key = world, ((CALLER_IP, port), address)
+        self.world, self.key = world, ((caller_ip(), port), address)
         self.state, self.seq, self.ack, self.answer_received = "opening", 1000, 0, None
         self.requests_sent, self.answered = 0, 0
 
