Keep a VM that the platform lists as leaving from taking work again

The same class: an earlier listing, which a restored platform gives, ended the leaving of the VM itself, though no other process ever took it back. It now lasts for the life of the process, as it does when peers report it. Membership.AnEarlierListingDoesNotEndTheLeaving failed and passes.

--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -121,7 +121,8 @@
   }
   for (const auto& vm : aListing) {
     if (vm.member == init_.self) {
-      listedLeaving_ = vm.leaving;
+      // A platform that is restored from a copy lists this VM as before.
+      listedLeaving_ = listedLeaving_ || vm.leaving;
       continue;
     }
     if (members_.size() >= kMaxMembers) {
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -409,4 +409,19 @@
 }
 
 } // namespace
+// Guards against a VM that takes new work again because a restored platform
+// lists it as before it was to leave.
+TEST(Membership, AnEarlierListingDoesNotEndTheLeaving)
+{
+  const ManualClock clock;
+  Membership members({ Agent(1), Role::Agent, "a", 1, 1 }, clock);
+  members.ApplyListing({ { Agent(1), Role::Agent, "a", true },
+                         { Agent(2), Role::Agent, "a", true } });
+  EXPECT_TRUE(members.IsSelfListedLeaving());
+  members.ApplyListing({ { Agent(1), Role::Agent, "a", false },
+                         { Agent(2), Role::Agent, "a", false } });
+  EXPECT_TRUE(members.IsSelfListedLeaving());
+  EXPECT_EQ(members.StateOf(Agent(2)), MemberState::Leaving);
+}
+
 } // namespace damaskwalk
