--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -11,8 +11,8 @@
 //   PUT /mode?is=ok|down|stale|slow   stale: the document that was current when
 //                                     the mode was set
 //   PUT /copy                         copies the document
-//   PUT /restore                      goes back to the copy: its version is given
-//                                     out again, in the next era, and the ETag is
+//   PUT /restore                      goes back to the copy; its versions are
+//                                     given out again, with an ETag of
 //                                     "ERA-VERSION" from then on
 
 #include "core/clock.h"
