--- a/src/relay/evacuations.cpp
+++ b/src/relay/evacuations.cpp
@@ -32,7 +32,7 @@
                      aSet.domains.end());
   const bool isOtherEra = set_.revision.number > 0 && aRestored &&
                           aSet.revision.era != set_.revision.era;
-  // Within an era, the store's word counts on what it has had since.
+  // A domain that the new era has listed once is no longer held.
   const auto before = isOtherEra ? inForce_ : std::exchange(lost_, {});
   lost_.clear();
   std::ranges::set_difference(before, aSet.domains, std::back_inserter(lost_));
--- a/src/relay/fleet_state.cpp
+++ b/src/relay/fleet_state.cpp
@@ -199,7 +199,7 @@
 {
   ObserveEra(aDigest.targets.era);
   storeRestored_ |= aDigest.storeRestored;
-  // After a restore, an earlier release goes on with the state of before it.
+  // After a restore, a process of an earlier release may confirm lost state.
   const bool isTrusted = aDigest.targets.era != 0 || !storeRestored_;
   if (isTrusted && hasTargets_ && aDigest.targetsHash == targetsHash_) {
     if (aDigest.targets.IsAfter(targets_.revision, storeRestored_)) {
--- a/standins/store.h
+++ b/standins/store.h
@@ -10,7 +10,9 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace damaskwalk::standin {
@@ -61,6 +63,19 @@
     ++era_;
   }
 
+  // Restores after the next page of a range, and sends pages of this many
+  // items.
+  auto RestoreAfterNextPage(std::size_t aPageItems) -> void
+  {
+    pageItems_ = aPageItems;
+    restoresAfterPage_ = true;
+  }
+  // Sends this in place of the era; empty: no header.
+  auto SetEraText(std::optional<std::string> aText) -> void
+  {
+    eraText_ = std::move(aText);
+  }
+
   auto Revision() const -> std::uint64_t { return state_.revision; }
   auto Era() const -> std::uint32_t { return era_; }
   auto Calls() const -> std::uint64_t { return calls_; }
@@ -105,17 +120,32 @@
   auto Answer(const std::string& aTarget, BeastResponse& aResponse) -> void
   {
     ++calls_;
-    aResponse.set("Store-Era", std::to_string(era_));
+    if (const auto era = eraText_.value_or(std::to_string(era_));
+        !era.empty()) {
+      aResponse.set("Store-Era", era);
+    }
     const auto prefix = QueryParameter(aTarget, "prefix", "");
     if (aTarget.starts_with("/v1/kv-range")) {
+      const auto start = QueryParameter(aTarget, "after", "");
       boost::json::array items;
+      bool truncated = false;
       for (const auto& [key, item] : state_.items) {
-        if (key.starts_with(prefix)) {
-          items.push_back(ToJson(key));
+        if (!key.starts_with(prefix) || key <= start) {
+          continue;
         }
+        truncated = items.size() == pageItems_;
+        if (truncated) {
+          break;
+        }
+        items.push_back(ToJson(key));
+      }
+      aResponse.body() =
+        boost::json::serialize(boost::json::object{ { "items", items },
+                                                    { "truncated", truncated },
+                                                    { "asOf", Revision() } });
+      if (std::exchange(restoresAfterPage_, false)) {
+        Restore();
       }
-      aResponse.body() = boost::json::serialize(boost::json::object{
-        { "items", items }, { "truncated", false }, { "asOf", Revision() } });
       return;
     }
     const auto after = std::stoull(QueryParameter(aTarget, "after", "0"));
@@ -144,6 +174,9 @@
   State state_;
   State copy_;
   std::uint32_t era_ = 1;
+  std::optional<std::string> eraText_;
+  std::size_t pageItems_ = 500;
+  bool restoresAfterPage_ = false;
   std::uint64_t calls_ = 0;
 };
 
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -68,6 +68,25 @@
 
   auto Hear(Process& aPeer) -> void { Hear(aPeer, aPeer.state.Digest()); }
 
+  // The findings of one read of the targets; nothing if it failed.
+  auto ReadFindings(asio::io_context& aIo)
+    -> std::optional<std::vector<DecodeFinding>>
+  {
+    std::optional<std::vector<DecodeFinding>> findings;
+    bool done = false;
+    const auto read = [&]() -> asio::awaitable<void> {
+      auto targets = co_await client.ReadTargets();
+      if (auto* set = std::get_if<Decoded<TargetSet>>(&targets)) {
+        findings = std::move(set->findings);
+      }
+      done = true;
+    };
+    asio::co_spawn(aIo, read, asio::detached);
+    while (!done && aIo.run_one() > 0) {
+    }
+    return findings;
+  }
+
   // One exchange, if the peer's heartbeat with the digest calls for it.
   auto Hear(Process& aPeer, const StateDigest& aDigest) -> void
   {
@@ -221,6 +240,16 @@
   EXPECT_EQ(reader.state.Routes().version, 9U);
 }
 
+// Guards against a set that is made of pages of two eras.
+TEST_F(RestoredStore, PagesOfTwoErasAreNoSet)
+{
+  auto& reader = MakeProcess();
+  store_.Copy();
+  store_.RestoreAfterNextPage(4);
+  EXPECT_FALSE(reader.ReadFindings(io_));
+  EXPECT_TRUE(reader.ReadFindings(io_));
+}
+
 // Guards against peers that hold on to the state of before the restore, and
 // against one that wakes up and brings it back.
 TEST_F(RestoredStore, PeersOfAnyAgeTakeTheStateOfTheNewEra)
