--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -250,6 +250,20 @@
   EXPECT_TRUE(reader.ReadFindings(io_));
 }
 
+// Guards against an era that is missing or malformed and not reported.
+TEST_F(RestoredStore, AnUnreadableEraIsAFinding)
+{
+  auto& reader = MakeProcess();
+  EXPECT_EQ(reader.ReadFindings(io_), std::vector<DecodeFinding>{});
+  const std::vector<DecodeFinding> missing{
+    { "Store-Era", "", DecodeEffect::DefaultUsed }
+  };
+  for (const auto* text : { "", "two", "2x", "-1", "4294967296" }) {
+    store_.SetEraText(text);
+    EXPECT_EQ(reader.ReadFindings(io_), missing) << text;
+  }
+}
+
 // Guards against peers that hold on to the state of before the restore, and
 // against one that wakes up and brings it back.
 TEST_F(RestoredStore, PeersOfAnyAgeTakeTheStateOfTheNewEra)
