--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,6 +9,9 @@
 from deployment import BOUNDS, Node, Target, World, main
 
 
+MACHINES = 2  # a share of 0.25 of the service's 7 targets
+
+
 class ReusedAddress(World):
     rule = "ROUTE"
 
@@ -23,21 +26,16 @@
         while True:
             number += 1
             self.spawn(self.short_flow(self.clients[number % 3], self.address("bookings")))
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(0.006)
 
-    async def play(self):
-        self.spawn(self.load())
-        await asyncio.sleep(4)
-        target = self.targets[0]
-        node = target.node
-        if not self.trouble:
-            await asyncio.sleep(8)
-            return
+    async def lose(self, target):
         target.crash()
-        await node.end(signal.SIGKILL)
-        self.note(f"{node.name} ({node.ip}) with {target.id} of {target.service} is lost")
-        await asyncio.sleep(BOUNDS["reuseAfterS"])
-        successor = Node(self, "side-new", node.ip, node.zone, "recordings")
+        await target.node.end(signal.SIGKILL)
+        self.note(f"{target.node.name} ({target.ip}) with {target.id} of {target.service} is lost")
+
+    async def reuse(self, node):
+        """Starts a machine of another service at the address of a lost one."""
+        successor = Node(self, f"new-{node.name}", node.ip, node.zone, "recordings")
         successor.store_port = node.store_port
         self.sides.append(successor)
         replacement = Target(self, successor, "recordings")
@@ -46,6 +44,17 @@
         await successor.start()
         self.note(f"{node.ip} is used again, by {successor.name} with {replacement.id} of "
                   "recordings, which is registered")
+
+    async def play(self):
+        self.spawn(self.load())
+        await asyncio.sleep(4)
+        if not self.trouble:
+            await asyncio.sleep(8)
+            return
+        lost = self.targets[:MACHINES]
+        await asyncio.gather(*(self.lose(target) for target in lost))
+        await asyncio.sleep(BOUNDS["reuseAfterS"])
+        await asyncio.gather(*(self.reuse(target.node) for target in lost))
         await asyncio.sleep(6)
 
 
