--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,7 +15,10 @@
 
 class KillAfterRouteChange(World):
     rule = "FLOW"
-    moved = ("198.18.0.9", 443)
+
+    @property
+    def moved(self):
+        return self.route_address(9)
 
     def on_reset(self, flow, packet, sender):
         super().on_reset(flow, packet, sender)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,50 +1,48 @@
-"""A slow target answers first packets late; edge nodes are then stopped and started in turn."""
+"""A large entry of another writer, under a key that has to be encoded in a query."""
 
 import asyncio
 import os
-import signal
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
-from deployment import World, main
+from deployment import BOUNDS, World, main
 
-SLOW_FACTOR = 5.0  # srv_slow: x = 5.0 for 6.5 s, at a share of 0.16 of a service's targets
-SLOW_S = 6.5
-HANDSHAKE_S = 0.020  # of a target that isn't slow
-ROLL_GAP_S = 1.3  # roll_term: gap_s = 1.3, share = 0.45
+KEY = os.environ.get("KEY", "servers/backup&restore")
+MAX_VALUE_BYTES = 1048576
 
 
-class LateHandshake(World):
-    rule = "FLOW"
+class LargeForeignEntry(World):
+    rule = "DRAIN"
+    drained = None
 
-    def on_reset(self, flow, packet, sender):
-        super().on_reset(flow, packet, sender)
-        self.check_reset(flow, packet, sender)
+    def on_opening(self, flow, target):
+        if target is not self.drained:
+            return
+        late = self.now() - self.drained_at - BOUNDS["drainMs"] / 1000
+        if late > 0 and flow not in target.half_open:
+            self.broken("DRAIN", f"{target.id} on {target.node.name} gets a first packet "
+                        f"{late:.2f} s after the bound")
+
+    async def load(self):
+        number = 0
+        while True:
+            number += 1
+            self.spawn(self.short_flow(self.clients[number % 3], self.address("bookings")))
+            await asyncio.sleep(0.02)
 
     async def play(self):
-        client, address, slow = self.clients[0], self.address("bookings"), self.targets[2]
-        for target in self.targets:
-            target.HANDSHAKE_S = HANDSHAKE_S
+        self.spawn(self.load())
+        await asyncio.sleep(3)
         if self.trouble:
-            slow.slow, slow.disturbed_at = SLOW_FACTOR, 1e9
-            self.note(f"{slow.id} on {slow.node.name} turns slow, factor {SLOW_FACTOR}")
-        end = self.now() + SLOW_S
-        while self.now() < end:
-            self.spawn(self.long_flow(client, address, 1.5))
-            await asyncio.sleep(0.033)
-        slow.slow, slow.disturbed_at = 1.0, self.now()
-        self.note(f"{slow.id} is as before")
-        await asyncio.sleep(12)  # longer than contactMs, and until half-open flows are given up
-        for edge in self.edges[:2]:
-            self.note(f"{edge.name} gets SIGTERM")
-            await edge.end(signal.SIGTERM)
-            await edge.start()
-            while not edge.in_rotation:
-                await asyncio.sleep(0.1)
-            self.note(f"{edge.name} is back")
-            await asyncio.sleep(ROLL_GAP_S)
-        await asyncio.sleep(4)
+            self.store.put(KEY, os.urandom(MAX_VALUE_BYTES))
+            self.note(f"store: {KEY}, {MAX_VALUE_BYTES} bytes of another writer")
+        await asyncio.sleep(3)
+        target = self.targets[0]
+        target.register("draining")
+        self.drained, self.drained_at = target, self.now()
+        self.note(f"store: {target.id} on {target.node.name} is draining, acknowledged")
+        await asyncio.sleep(BOUNDS["drainMs"] / 1000 + 4)
 
 
 if __name__ == "__main__":
-    sys.exit(main(LateHandshake, os.path.dirname(os.path.abspath(__file__))))
+    sys.exit(main(LargeForeignEntry, os.path.dirname(os.path.abspath(__file__))))
