Route history: a service that nobody knows is searched, not taken for absent

Cause: an empty history counted as settled 60 ms after the first routes, or when 12 peers did not know more either. A search of the new service's agents was then complete. The same holds for a process that skipped a version, for a report that was cut, and for an agent that answers from older routes.

Without a complete history all registered agents are asked now, at once, and the verdict needs all their answers. A history is complete only up to versions that followed one another: read from the store without a gap, or taken from a peer that knows. The settled state and its two limits are gone.

--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -241,9 +241,6 @@
   // agents for its flow.
   auto AskForFlow(Packet& aPacket, const RelayRoute& aRoute, RelayPort& aPort)
     -> void;
-  // False while the state that the answer depends on may be missing: whether
-  // the packet's route ever named this agent's service.
-  auto CanAnswerQuery(const Packet& aPacket) const -> bool;
   auto AnswerHeldQueries(RelayPort& aPort) -> void;
   auto AnswerQuery(std::uint32_t aAsker,
                    const FlowKey& aFlow,
--- a/src/relay/agent_relay_search.cpp
+++ b/src/relay/agent_relay_search.cpp
@@ -56,9 +56,8 @@
 
 auto AgentRelay::IsCertainOfFlows(const RelayRoute& aRoute) const -> bool
 {
-  const bool neverNamed =
-    state_.KnowsServicesHolding() && !state_.MayHold(aRoute, Service());
-  return HasCompleteFlowTable() || meter_.IsDown() || neverNamed;
+  return HasCompleteFlowTable() || meter_.IsDown() ||
+         !state_.MayHold(aRoute, Service());
 }
 
 auto AgentRelay::AskForFlow(Packet& aPacket,
@@ -97,7 +96,7 @@
   }
   const auto* route = state_.FindRoute(aPacket.flow.address);
   const auto found = flows_.find(aPacket.flow);
-  if (found == flows_.end() && !CanAnswerQuery(aPacket)) {
+  if (found == flows_.end() && !state_.HasState()) {
     held_.Add(aAsker, aWholeDomain, aPacket);
     return;
   }
@@ -109,9 +108,12 @@
   if (found != flows_.end() && !OpenedElsewhere(found->second, aPacket)) {
     AnswerQuery(asker, aPacket.flow, true, aPort);
     OnLaterPacket(aPacket, aPort);
-  } else if (found != flows_.end() || (route && IsCertainOfFlows(*route))) {
+  } else if (found != flows_.end() ||
+             (route && (HasCompleteFlowTable() || meter_.IsDown()))) {
+    // Newer routes may name this agent's service, so that the asker expects
+    // more of it than its own view does.
     AnswerQuery(asker, aPacket.flow, false, aPort);
-  } else if (route && state_.MayHold(*route, Service())) {
+  } else if (route) {
     auto& question = questions_[aPacket.flow];
     question.askers.push_back(asker);
     question.since = clock_.Now();
@@ -121,17 +123,6 @@
   }
 }
 
-auto AgentRelay::CanAnswerQuery(const Packet& aPacket) const -> bool
-{
-  if (!state_.HasState()) {
-    return false;
-  }
-  // A route that is in no configuration needs no answer.
-  const auto* route = state_.FindRoute(aPacket.flow.address);
-  return !route || state_.KnowsServicesHolding() || IsCertainOfFlows(*route) ||
-         state_.MayHold(*route, Service());
-}
-
 auto AgentRelay::AnswerHeldQueries(RelayPort& aPort) -> void
 {
   if (held_.Size() == 0) {
@@ -139,7 +130,7 @@
   }
   held_.Expire();
   const auto ready = held_.Take([this](const Packet& aPacket) {
-    return flows_.contains(aPacket.flow) || CanAnswerQuery(aPacket);
+    return flows_.contains(aPacket.flow) || state_.HasState();
   });
   for (const auto& query : ready) {
     // Askers have mostly asked another agent of the domain since.
@@ -201,6 +192,7 @@
                  .With("flow", ToText(packet.flow))
                  .With("outcome", "reset")
                  .With("every_agent_asked", true)
+                 .With("history_complete", state_.History().IsComplete())
                  .With("hops", packet.tag.hops)
                  .With("took_ms", lost.took.count())
                  .With("rounds", lost.rounds)
--- a/src/relay/fleet_state.cpp
+++ b/src/relay/fleet_state.cpp
@@ -84,7 +84,7 @@
   if (hasRoutes_) {
     history_.OnRoutes(routes_, aTable);
   } else {
-    history_.OnFirstRoutes();
+    history_.OnFirstRoutes(aTable.version);
   }
   routes_ = std::move(aTable);
   hasRoutes_ = true;
@@ -95,6 +95,29 @@
   return true;
 }
 
+auto FleetState::ApplySuccession(RouteSuccession aSuccession) -> bool
+{
+  auto& versions = aSuccession.versions;
+  if (versions.empty()) {
+    return false;
+  }
+  const auto newest = versions.back().version;
+  const bool isNewer = !hasRoutes_ || newest > routes_.version;
+  if (isNewer) {
+    UpdateRoutes(std::move(versions.back()));
+    versions.pop_back();
+  }
+  for (const auto& table : versions) {
+    if (table.version != routes_.version) {
+      history_.OnSuperseded(table, routes_);
+    }
+  }
+  if (aSuccession.since) {
+    history_.OnSuccession(*aSuccession.since, newest);
+  }
+  return isNewer;
+}
+
 auto FleetState::UpdateEvacuations(EvacuationSet aSet) -> EvacuationChange
 {
   ObserveEra(aSet.revision.era);
@@ -199,6 +222,7 @@
 {
   ObserveEra(aDigest.targets.era);
   storeRestored_ |= aDigest.storeRestored;
+  history_.OnPeerVersion(aDigest.routes);
   // After a restore, a process of an earlier release may confirm lost state.
   const bool isTrusted = aDigest.targets.era != 0 || !storeRestored_;
   if (isTrusted && hasTargets_ && aDigest.targetsHash == targetsHash_) {
@@ -317,9 +341,25 @@
   return services;
 }
 
+auto FleetState::ServicesToSearch(const RelayRoute& aRoute) const
+  -> std::vector<ServiceId>
+{
+  if (history_.IsComplete()) {
+    return ServicesHolding(aRoute);
+  }
+  std::vector<ServiceId> services;
+  for (const auto& [service, targets] : byService_) {
+    services.push_back(service);
+  }
+  return services;
+}
+
 auto FleetState::MayHold(const RelayRoute& aRoute, ServiceId aService) const
   -> bool
 {
+  if (!history_.IsComplete()) {
+    return true;
+  }
   const auto services = ServicesHolding(aRoute);
   return std::ranges::find(services, aService) != services.end();
 }
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -64,6 +64,14 @@
   std::vector<ServiceLimits> limits; // of services that state any
 };
 
+// Versions that followed one another in the store.
+struct RouteSuccession
+{
+  // The newest one at the read before; nothing if versions may be missing.
+  std::optional<DocumentVersion> since;
+  std::vector<RouteTable> versions; // oldest first; none: no newer ones
+};
+
 enum class TargetState : std::uint8_t
 {
   Ready,
@@ -172,6 +180,9 @@
 
   // @return true if the table replaced an older one.
   auto UpdateRoutes(RouteTable aTable) -> bool;
+  // Puts the newest version into force; the others may have been elsewhere.
+  // @return true if it replaced an older one.
+  auto ApplySuccession(RouteSuccession aSuccession) -> bool;
   // Backend servers of a domain whose evacuation ends count as cold.
   auto UpdateEvacuations(EvacuationSet aSet) -> EvacuationChange;
   auto History() -> RouteHistory& { return history_; }
@@ -222,14 +233,15 @@
   // Nothing: the configuration states no limits of the service.
   auto LimitsOf(ServiceId aService) const -> const ServiceLimits*;
 
-  // The services whose backend servers may hold flows of the route: those that
-  // it names or named within the lifetime of a flow.
+  // The services that the route names, or is known to have named within the
+  // lifetime of a flow.
   auto ServicesHolding(const RelayRoute& aRoute) const
     -> std::vector<ServiceId>;
+  // The services whose backend servers may hold flows of the route. Without a
+  // complete history, those of all registered ones.
+  auto ServicesToSearch(const RelayRoute& aRoute) const
+    -> std::vector<ServiceId>;
   auto MayHold(const RelayRoute& aRoute, ServiceId aService) const -> bool;
-  // False while ServicesHolding may leave a service out. A flow that is not
-  // found may then still live.
-  auto KnowsServicesHolding() const -> bool { return history_.IsSettled(); }
   // The services that share a route with the given one, itself included.
   auto ServicesSharingRoutes(ServiceId aService) const
     -> std::unordered_set<ServiceId, KeyHash>;
--- a/src/relay/flow_queries.cpp
+++ b/src/relay/flow_queries.cpp
@@ -39,6 +39,9 @@
 
 auto FlowQueries::Covers(const RelayRoute& aRoute) const -> bool
 {
+  if (!state_.History().IsComplete()) {
+    return true;
+  }
   std::size_t agents = 0;
   for (const auto service : state_.ServicesHolding(aRoute)) {
     agents += state_.TargetsOfService(service).size();
@@ -66,7 +69,7 @@
   -> std::vector<const KnownTarget*>
 {
   std::vector<const KnownTarget*> missing;
-  for (const auto service : state_.ServicesHolding(aRoute)) {
+  for (const auto service : state_.ServicesToSearch(aRoute)) {
     for (const auto index : state_.TargetsOfService(service)) {
       const auto& known = state_.KnownTargets()[index];
       if (!aQuery.certain.contains(known.target.agent.ip) &&
@@ -174,8 +177,7 @@
 auto FlowQueries::Conclude(Table::iterator aQuery) -> bool
 {
   const auto* route = state_.FindRoute(aQuery->first.address);
-  if (route && (!state_.KnowsServicesHolding() ||
-                IsAnyMissing(aQuery->second, *route))) {
+  if (route && IsAnyMissing(aQuery->second, *route)) {
     return false;
   }
   if (route) {
--- a/src/relay/flow_queries.h
+++ b/src/relay/flow_queries.h
@@ -30,7 +30,8 @@
               const PeerTable& aPeers,
               const Clock& aClock);
 
-  // True if the route has more agents than a packet should walk along.
+  // True if the route has more agents than a packet should walk along, or if it
+  // is not known which agents may hold its flows.
   auto Covers(const RelayRoute& aRoute) const -> bool;
   // Asks for the packet's flow on behalf of this agent, which is certain not to
   // have it. Ignored if it is being asked for, or if too many are.
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -118,12 +118,9 @@
 // Callers close a flow after this time at the latest, if the settings state no
 // other.
 constexpr Millis kDefaultMaxFlowLifetime{ 60000 };
-// A process that starts waits this long for a peer that knows which services
-// routes named before, until it calls a flow lost.
-constexpr Millis kHistorySettleTime{ 60 };
-// It waits no longer when this many peers do not know either and none does.
-// Fewer are restarted at a time by planned work.
-constexpr std::size_t kMinIncompletePeers = 12;
+// At the first start of a fleet, callers open no flows within this time after
+// the processes start.
+constexpr Millis kFirstStartTime{ 5000 };
 // Most former services that a process keeps and sends.
 constexpr std::size_t kMaxFormerServices = 65536;
 // Shortest time between two pulls of a peer's route history.
--- a/src/relay/peer_exchange.cpp
+++ b/src/relay/peer_exchange.cpp
@@ -57,9 +57,6 @@
   if ((isNew && isNear) || aHeartbeat.wantsReply) {
     aPort.SendToPeer(aIp, PeerMessage{ host_.MakeHeartbeat() });
   }
-  if (aHeartbeat.digest.historyComplete && !aHeartbeat.stopping) {
-    state_.History().OnCompletePeer();
-  }
   const auto ageBefore = state_.Age();
   state_.Confirm(aHeartbeat.digest);
   // Far agents answer a balancer's first packets and probes. An agent asks
@@ -82,9 +79,6 @@
 {
   const auto now = clock_.Now();
   const auto own = state_.Digest();
-  if (!aDigest.historyComplete && aDigest.routes > 0) {
-    state_.History().OnIncompletePeer(aIp);
-  }
   if (aDigest.routes == own.routes && aDigest.HasOtherHistoryThan(own) &&
       now >= nextHistoryPull_) {
     nextHistoryPull_ = now + kHistoryPullPeriod;
--- a/src/relay/search_order.cpp
+++ b/src/relay/search_order.cpp
@@ -66,7 +66,7 @@
   SearchStep step;
   std::uint64_t highestWeight = 0;
   std::uint64_t highestSilentWeight = 0;
-  for (const auto service : state_.ServicesHolding(aRoute)) {
+  for (const auto service : state_.ServicesToSearch(aRoute)) {
     for (const auto index : state_.TargetsOfService(service)) {
       const auto& known = state_.KnownTargets()[index];
       const auto& agent = known.target.agent;
@@ -84,8 +84,7 @@
       }
     }
   }
-  step.skippedSilent =
-    highestSilentWeight > highestWeight || !state_.KnowsServicesHolding();
+  step.skippedSilent = highestSilentWeight > highestWeight;
   return step;
 }
 
@@ -179,7 +178,7 @@
   constexpr std::size_t kMaxNamedAgents = 3;
   std::string names;
   std::size_t count = 0;
-  for (const auto service : state_.ServicesHolding(aRoute)) {
+  for (const auto service : state_.ServicesToSearch(aRoute)) {
     for (const auto index : state_.TargetsOfService(service)) {
       const auto& known = state_.KnownTargets()[index];
       const auto& agent = known.target.agent;
@@ -198,7 +197,7 @@
 {
   constexpr std::uint64_t kViewMask = 0x1F;
   std::uint64_t sum = 0;
-  for (const auto service : state_.ServicesHolding(aRoute)) {
+  for (const auto service : state_.ServicesToSearch(aRoute)) {
     for (const auto index : state_.TargetsOfService(service)) {
       const auto& known = state_.KnownTargets()[index];
       if (known.standing != TargetStanding::Gone) {
--- a/src/relay/search_order.h
+++ b/src/relay/search_order.h
@@ -12,14 +12,14 @@
 struct SearchStep
 {
   std::optional<Endpoint> agent;
-  // A silent agent that may still hold flows was skipped, or not all services
-  // that may hold them are known.
+  // A silent agent that may still hold flows was skipped.
   bool skippedSilent = false;
 };
 
 // Orders every agent that may hold flows of the route, also of services that
-// the route named before, by rendezvous weight for the flow. Processes with
-// different views thus agree on the order of the agents that both know.
+// the route named before or, if these are not known, of all services, by
+// rendezvous weight for the flow. Processes with different views thus agree on
+// the order of the agents that both know.
 class SearchOrder
 {
 public:
--- a/src/relay/state_transfer.cpp
+++ b/src/relay/state_transfer.cpp
@@ -130,10 +130,8 @@
     }
     changed |= state_.UpdateRoutes(std::move(table));
   }
-  for (auto& history : aReply.history) {
-    // The services of the sender's own routes are not in its history.
-    history.complete &= aReply.digest.routes == state_.Routes().version;
-    changed |= state_.History().Merge(history, aTook);
+  for (const auto& history : aReply.history) {
+    changed |= state_.History().Merge(history, aReply.digest.routes, aTook);
   }
   for (auto& set : aReply.evacuations) {
     set.revision.era = aReply.digest.evacuations.era;
--- a/src/relay_node/interfaces.h
+++ b/src/relay_node/interfaces.h
@@ -86,9 +86,9 @@
 // What operators wrote to the store.
 struct OperatorState
 {
-  // Nothing if they did not change since the last read, or if the new
+  // Without versions if they did not change since the last read, or if the new
   // configuration was refused as a whole; then a finding says so.
-  std::optional<RouteTable> routes;
+  RouteSuccession routes;
   EvacuationSet evacuations;
 };
 
--- a/src/relay_node/peer_traffic.cpp
+++ b/src/relay_node/peer_traffic.cpp
@@ -28,10 +28,11 @@
   -> void
 {
   auto& sent = sent_.at(static_cast<std::size_t>(aKind));
+  ++sent.messages;
   (far_.contains(aTo) ? sent.far : sent.near) += aBytes;
 }
 
-auto PeerTraffic::Sent(TrafficKind aKind) const -> const Bytes&
+auto PeerTraffic::Sent(TrafficKind aKind) const -> const Amount&
 {
   return sent_.at(static_cast<std::size_t>(aKind));
 }
@@ -41,6 +42,7 @@
   Event event("peer_traffic");
   for (std::size_t i = 0; i < kTrafficKinds; ++i) {
     const std::string name = ToText(static_cast<TrafficKind>(i));
+    event.With((name + "_messages").c_str(), sent_.at(i).messages);
     event.With((name + "_near").c_str(), sent_.at(i).near);
     event.With((name + "_far").c_str(), sent_.at(i).far);
   }
--- a/src/relay_node/relay_metrics.cpp
+++ b/src/relay_node/relay_metrics.cpp
@@ -167,14 +167,17 @@
 {
   for (std::size_t i = 0; i < kTrafficKinds; ++i) {
     const auto kind = static_cast<TrafficKind>(i);
-    const auto& bytes = aTraffic.Sent(kind);
+    const auto& sent = aTraffic.Sent(kind);
     const auto name = std::string("sent_") + ToText(kind);
+    aList.Counter(name + "_messages_total",
+                  "Messages sent to relays",
+                  double(sent.messages));
     aList.Counter(name + "_near_bytes_total",
                   "Bytes sent to relays of the own failure domain",
-                  double(bytes.near));
+                  double(sent.near));
     aList.Counter(name + "_far_bytes_total",
                   "Bytes sent to relays of other failure domains",
-                  double(bytes.far));
+                  double(sent.far));
   }
 }
 
@@ -193,6 +196,9 @@
   }
   const auto digest = state_.Digest();
   list.Gauge("routes_version", "Configuration in force", double(digest.routes));
+  list.Gauge("route_history_complete",
+             "1 if every service is known that routes named before",
+             digest.historyComplete ? 1 : 0);
   list.Gauge(
     "targets_revision", "Targets in force", double(digest.targets.number));
   list.Gauge("evacuated_domains",
--- a/src/relay_node/relay_state.cpp
+++ b/src/relay_node/relay_state.cpp
@@ -150,10 +150,12 @@
 {
   auto& routes = aRead.value.routes;
   bool changed = false;
-  if (routes || !aRead.findings.empty()) {
-    const auto version = routes ? routes->version : state_.Routes().version;
+  if (!routes.versions.empty() || !aRead.findings.empty()) {
+    const auto version = routes.versions.empty()
+                           ? state_.Routes().version
+                           : routes.versions.back().version;
     routeFindings_.Update(version, aRead.findings);
-    changed = routes && state_.UpdateRoutes(std::move(*routes));
+    changed = state_.ApplySuccession(std::move(routes));
   }
   // After the routes, whose limits say how long a server is then cold.
   changed |=
@@ -230,6 +232,7 @@
                     .With("targets", digest.targets.number)
                     .With("era", digest.targets.era)
                     .With("age_ms", digest.age.count())
+                    .With("history_complete", digest.historyComplete)
                     .With("open_targets", open)
                     .With("known_targets", state_.KnownTargets().size())
                     .Text());
