Registrations: an agent's settings say which server is its own

Cause: of all entries at an agent's address the latest start counted, of whatever service and port. The agent took that entry's service for its own and reset the flows as those of a replaced server; searches left the agent out.

The own service and port come from the settings now, and registrations add their state only. Other processes list an agent for each service that an entry names; its report outweighs the entry for new flows. The cause server_replaced is gone: a process's server never changes its service, as VMs go with their servers. The backend server's port goes into the set of targets and its hash; replies carry it after the fields that earlier releases read.

Tests: ForeignEntry.*; with the former choice four of its tests and FleetState.AReusedAddressBelongsToItsNewService fail. That one demanded that a lapsed entry is forgotten as soon as another service's entry has its address, which is the fault; it demands now that no flow opens by it and that it is forgotten after the retention.

--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -31,10 +31,9 @@
 {
 }
 
-auto AgentRelay::Service() const -> ServiceId
+auto AgentRelay::Registration() const -> OwnRegistration
 {
-  const auto* own = state_.FindAgent(init_.self);
-  return own ? own->target.service : init_.service;
+  return state_.FindOwn({ init_.self, init_.service, init_.backendPort });
 }
 
 auto AgentRelay::OnCallerPacket(Packet aPacket, RelayPort& aPort) -> void
@@ -54,12 +53,6 @@
     return;
   }
   auto& own = found->second;
-  if (own.service != Service()) {
-    ResetLostFlow(
-      aPacket.flow, own, aPacket.acknowledgement, "server_replaced", aPort);
-    flows_.erase(found);
-    return;
-  }
   if (OpenedElsewhere(own, aPacket)) {
     Search(aPacket, aPort);
     return;
@@ -115,7 +108,6 @@
   if (isNew) {
     // Opened before this process started.
     own.phase = Phase::Open;
-    own.service = Service();
     Register(aPacket.flow, own);
   }
   if (aPacket.opens && aPacket.acknowledges) {
@@ -282,7 +274,7 @@
 
 auto AgentRelay::OnStateChanged(RelayPort& aPort) -> void
 {
-  if (const auto* own = state_.FindAgent(init_.self)) {
+  if (const auto* own = Registration().known) {
     meter_.SetSlots(own->target.slots);
     coldStart_.Update(state_.LimitsOf(own->target.service), own->coldUntil);
   }
@@ -351,12 +343,11 @@
 {
   BackendLoad report;
   meter_.FillReport(report);
-  report.service = Service();
+  report.service = init_.service;
   report.inFlight +=
     awaitedRequests_ + static_cast<std::uint32_t>(queue_.Size());
   report.flows = static_cast<std::uint32_t>(flows_.size());
-  const auto* own = state_.FindAgent(init_.self);
-  report.draining = own && own->standing == TargetStanding::Leaving;
+  report.draining = Registration().standing == TargetStanding::Leaving;
   return report;
 }
 
--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -28,6 +28,7 @@
 {
   Endpoint self; // receives callers' packets from other relays
   ServiceId service;
+  std::uint16_t backendPort = 0; // of the backend server; 0: not known
 };
 
 struct AgentCounters
@@ -132,7 +133,6 @@
   struct OwnFlow
   {
     Phase phase = Phase::Opening;
-    ServiceId service;     // of the backend server that holds it
     bool answered = false; // the backend server accepted the first packet
     // Room is kept for its first request, which is expected or on its way.
     bool awaitsFirstRequest = false;
@@ -201,10 +201,10 @@
     -> WaitingOpening;
   auto HasCapacity() const -> bool;
   auto StopAwaitingRequest(OwnFlow& aOwn) -> void;
-  // The service that the backend server registered for; until then the
-  // configured one. A reused address belongs to the service that registered
-  // last.
-  auto Service() const -> ServiceId;
+  // What the registrations say of this agent's backend server. Its service is
+  // the configured one: entries of a former server at the address, or of other
+  // programs, say nothing of it.
+  auto Registration() const -> OwnRegistration;
   // Why this agent's backend server must not open the flow; null: it may. Uses
   // up the trial that is due, if the server was ejected.
   auto RefusalCause(const RelayRoute& aRoute) -> const char*;
--- a/src/relay/agent_relay_opening.cpp
+++ b/src/relay/agent_relay_opening.cpp
@@ -30,17 +30,17 @@
 auto AgentRelay::RegistrationRefusalCause(const RelayRoute& aRoute) const
   -> const char*
 {
-  if (!aRoute.Allows(Service())) {
+  if (!aRoute.Allows(init_.service)) {
     return "other_service";
   }
-  const auto* own = state_.FindAgent(init_.self);
-  if (!own || own->standing == TargetStanding::Gone) {
+  const auto own = Registration();
+  if (own.standing == TargetStanding::Gone) {
     return "not_registered";
   }
-  if (own->standing == TargetStanding::Leaving) {
+  if (own.standing == TargetStanding::Leaving) {
     return "draining";
   }
-  if (own->evacuated) {
+  if (own.known->evacuated) {
     return kEvacuated;
   }
   return nullptr;
@@ -55,7 +55,7 @@
     return "not_answering";
   }
   if (meter_.IsFailing() && !meter_.StartTrial() &&
-      !order_.MustUseFailing(Service())) {
+      !order_.MustUseFailing(init_.service)) {
     return kFailing;
   }
   return nullptr;
@@ -64,7 +64,7 @@
 auto AgentRelay::OnFirstPacket(Packet& aPacket, RelayPort& aPort) -> void
 {
   const auto found = flows_.find(aPacket.flow);
-  if (found != flows_.end() && found->second.service == Service()) {
+  if (found != flows_.end()) {
     Deliver(found->second, aPacket, aPort);
     return;
   }
@@ -103,7 +103,7 @@
   }
   const auto ahead =
     queue_.CountAhead(aOpening, clock_.Now(), TimeToAnswerNow());
-  const auto agent = mover_.Choose(aOpening, Service(), WaitBehind(ahead));
+  const auto agent = mover_.Choose(aOpening, init_.service, WaitBehind(ahead));
   if (!agent) {
     return false;
   }
@@ -148,7 +148,6 @@
 auto AgentRelay::Admit(const WaitingOpening& aOpening, RelayPort& aPort) -> void
 {
   auto& own = flows_[aOpening.flow];
-  own.service = Service();
   own.awaitsFirstRequest = true;
   ++awaitedRequests_;
   const auto now = clock_.Now();
@@ -256,9 +255,10 @@
     counters_.waitedForShare += expired.waitedForShare ? 1 : 0;
     Refuse(expired, aPort);
   }
-  const auto* own = state_.FindAgent(init_.self);
-  const bool closed = !meter_.AcceptsFlows() || !own || own->evacuated ||
-                      own->standing >= TargetStanding::Leaving;
+  const auto own = Registration();
+  const bool closed = !meter_.AcceptsFlows() ||
+                      own.standing >= TargetStanding::Leaving ||
+                      own.known->evacuated;
   while (queue_.Size() > 0 && (closed || HasCapacity())) {
     AdmitOrRedirect(*queue_.TakeNext(now, TimeToAnswerNow()), aPort);
   }
--- a/src/relay/agent_relay_search.cpp
+++ b/src/relay/agent_relay_search.cpp
@@ -21,7 +21,7 @@
   // were kept for that long, only the backend server knows whether it has it.
   const bool isCertain = IsCertainOfFlows(*route) || aPacket.returned ||
                          flows_.contains(aPacket.flow);
-  if (!isCertain && state_.MayHold(*route, Service())) {
+  if (!isCertain && state_.MayHold(*route, init_.service)) {
     ++counters_.delivered;
     aPort.SendToBackend(aPacket);
     return;
@@ -57,7 +57,7 @@
 auto AgentRelay::IsCertainOfFlows(const RelayRoute& aRoute) const -> bool
 {
   return HasCompleteFlowTable() || meter_.IsDown() ||
-         !state_.MayHold(aRoute, Service());
+         !state_.MayHold(aRoute, init_.service);
 }
 
 auto AgentRelay::AskForFlow(Packet& aPacket,
--- a/src/relay/fleet_state.cpp
+++ b/src/relay/fleet_state.cpp
@@ -35,9 +35,9 @@
 auto RelayTarget::HasSameRegistration(const RelayTarget& aOther) const -> bool
 {
   return id == aOther.id && service == aOther.service &&
-         agent == aOther.agent && failureDomain == aOther.failureDomain &&
-         slots == aOther.slots && state == aOther.state &&
-         startedAtMillis == aOther.startedAtMillis;
+         agent == aOther.agent && backendPort == aOther.backendPort &&
+         failureDomain == aOther.failureDomain && slots == aOther.slots &&
+         state == aOther.state && startedAtMillis == aOther.startedAtMillis;
 }
 
 auto TargetSet::Hash() const -> std::uint64_t
@@ -46,6 +46,7 @@
   for (const auto& target : targets) {
     auto hash = Mix(HashText(target.id), target.service.value);
     hash = Mix(hash, HashOf(target.agent));
+    hash = Mix(hash, target.backendPort);
     hash = Mix(hash, HashText(target.failureDomain));
     hash = Mix(hash,
                (std::uint64_t{ target.slots } << 8) |
@@ -264,7 +265,7 @@
     return aKnown.standing == TargetStanding::Gone &&
            now - aKnown.since >= kGoneTargetRetention;
   });
-  if (removed > 0) {
+  if (changed || removed > 0) {
     Rebuild();
   }
   const auto evacuations = evacuations_.Tick();
@@ -310,8 +311,47 @@
 
 auto FleetState::FindAgent(const Endpoint& aAgent) const -> const KnownTarget*
 {
+  const auto found = entriesAt_.find(aAgent);
+  return found == entriesAt_.end() ? nullptr : &known_[found->second.front()];
+}
+
+auto FleetState::FindOwn(const OwnTarget& aOwn) const -> OwnRegistration
+{
+  const auto found = entriesAt_.find(aOwn.agent);
+  if (found == entriesAt_.end()) {
+    return {};
+  }
+  // Peers of earlier releases do not send the port.
+  const auto rankOf = [&aOwn](const RelayTarget& aTarget) {
+    if (aOwn.backendPort == 0 || aTarget.backendPort == aOwn.backendPort) {
+      return 2;
+    }
+    return aTarget.backendPort == 0 ? 1 : 0;
+  };
+  OwnRegistration own;
+  int rank = -1;
+  for (const auto index : found->second) {
+    const auto& known = known_[index];
+    if (known.target.service != aOwn.service) {
+      continue;
+    }
+    const auto rankHere = rankOf(known.target);
+    if (rankHere > rank) {
+      rank = rankHere;
+      own = { &known, known.standing };
+    } else if (rankHere == rank && known.standing == TargetStanding::Leaving) {
+      own.standing = std::max(own.standing, known.standing);
+    }
+  }
+  return own;
+}
+
+auto FleetState::TargetsAt(const Endpoint& aAgent) const
+  -> const std::vector<std::size_t>&
+{
+  static const std::vector<std::size_t> kNone;
   const auto found = byAgent_.find(aAgent);
-  return found == byAgent_.end() ? nullptr : &known_[found->second];
+  return found == byAgent_.end() ? kNone : found->second;
 }
 
 auto FleetState::TargetsOfService(ServiceId aService) const
@@ -379,8 +419,8 @@
 
 auto FleetState::Rebuild() -> void
 {
-  // If an address was registered more than once, the latest start wins: the
-  // earlier process cannot hold the port any more.
+  // If a port was registered more than once, the latest start wins: the earlier
+  // process cannot hold it any more.
   std::ranges::stable_sort(known_, [](const auto& aLeft, const auto& aRight) {
     if (aLeft.target.startedAtMillis != aRight.target.startedAtMillis) {
       return aLeft.target.startedAtMillis > aRight.target.startedAtMillis;
@@ -390,14 +430,45 @@
   for (auto& known : known_) {
     MarkEvacuated(known);
   }
+  entriesAt_.clear();
   byAgent_.clear();
   byService_.clear();
   for (std::size_t i = 0; i < known_.size(); ++i) {
-    const auto& target = known_[i].target;
-    if (byAgent_.try_emplace(target.agent, i).second) {
-      byService_[target.service].push_back(i);
+    List(i);
+  }
+  for (const auto& [agent, targets] : byAgent_) {
+    for (const auto index : targets) {
+      byService_[known_[index].target.service].push_back(index);
     }
   }
+  for (auto& [service, targets] : byService_) {
+    std::ranges::sort(targets);
+  }
+}
+
+auto FleetState::List(std::size_t aIndex) -> void
+{
+  const auto& known = known_[aIndex];
+  const auto& target = known.target;
+  auto& entries = entriesAt_[target.agent];
+  const bool isSuperseded = std::ranges::any_of(entries, [&](auto aOther) {
+    const auto& other = known_[aOther].target;
+    return other.service == target.service &&
+           other.backendPort == target.backendPort;
+  });
+  entries.push_back(aIndex);
+  if (isSuperseded) {
+    return;
+  }
+  auto& listed = byAgent_[target.agent];
+  const auto same = std::ranges::find_if(listed, [&](auto aOther) {
+    return known_[aOther].target.service == target.service;
+  });
+  if (same == listed.end()) {
+    listed.push_back(aIndex);
+  } else if (known.standing < known_[*same].standing) {
+    *same = aIndex;
+  }
 }
 
 } // namespace damaskwalk
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -84,6 +84,8 @@
   std::string id;
   ServiceId service;
   Endpoint agent; // where the agent takes packets
+  // Port of the server itself, at the agent's IP; 0: a peer did not say.
+  std::uint16_t backendPort = 0;
   std::string failureDomain;
   std::uint32_t slots = 1;
   TargetState state = TargetState::Ready;
@@ -171,6 +173,22 @@
   bool evacuated = false; // its failure domain is evacuated
 };
 
+// The backend server beside an agent, as the agent's settings name it. Entries
+// of other programs may name its VM, its service or both.
+struct OwnTarget
+{
+  Endpoint agent;
+  ServiceId service;
+  std::uint16_t backendPort = 0; // 0: not known
+};
+
+// What the registrations say of an agent's own backend server.
+struct OwnRegistration
+{
+  const KnownTarget* known = nullptr; // null: none is its own
+  TargetStanding standing = TargetStanding::Gone;
+};
+
 // The newest routes, targets and evacuations; older versions are ignored.
 // Single threaded.
 class FleetState
@@ -222,12 +240,23 @@
   // The configured idle timeout of flows, or the default if there is none.
   auto IdleTimeout() const -> Millis;
   auto FindRoute(const Endpoint& aAddress) const -> const RelayRoute*;
+  // The registration of the latest start at the agent's address, whatever its
+  // service.
   auto FindAgent(const Endpoint& aAgent) const -> const KnownTarget*;
+  // Among the registrations of the agent's own service at its address, those of
+  // its server's port count; the one of the latest start, which holds the port.
+  // Leaving if any of them is.
+  auto FindOwn(const OwnTarget& aOwn) const -> OwnRegistration;
+  // Indices into KnownTargets of the targets at the agent's address, one for
+  // each service.
+  auto TargetsAt(const Endpoint& aAgent) const
+    -> const std::vector<std::size_t>&;
   auto KnownTargets() const -> const std::vector<KnownTarget>&
   {
     return known_;
   }
-  // Indices into KnownTargets of the targets of a service.
+  // Indices into KnownTargets of the targets of a service, one for each agent.
+  // An agent may be listed for several services: it alone knows its own.
   auto TargetsOfService(ServiceId aService) const
     -> const std::vector<std::size_t>&;
   // Nothing: the configuration states no limits of the service.
@@ -248,6 +277,9 @@
 
 private:
   auto Rebuild() -> void;
+  // Adds a registration to the lists unless one of the same port counts, or one
+  // of another port that is more open.
+  auto List(std::size_t aIndex) -> void;
   auto MarkEvacuated(KnownTarget& aKnown) const -> void;
   auto OnEvacuationChange(const EvacuationChange& aChange) -> void;
   auto ObserveEra(std::uint32_t aEra) -> void;
@@ -265,7 +297,9 @@
   TimePoint confirmedAt_;
   std::vector<KnownTarget> known_;
   std::unordered_map<Endpoint, std::size_t, KeyHash> byAddress_;
-  std::unordered_map<Endpoint, std::size_t, KeyHash> byAgent_;
+  // All registrations at an agent's address, the latest start first.
+  std::unordered_map<Endpoint, std::vector<std::size_t>, KeyHash> entriesAt_;
+  std::unordered_map<Endpoint, std::vector<std::size_t>, KeyHash> byAgent_;
   std::unordered_map<ServiceId, std::vector<std::size_t>, KeyHash> byService_;
 };
 
--- a/src/relay/flow_queries.cpp
+++ b/src/relay/flow_queries.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <unordered_set>
 
 namespace damaskwalk {
 
@@ -16,6 +17,10 @@
                 std::uint32_t aRounds) -> bool
 {
   const auto ip = aKnown.target.agent.ip;
+  const auto* peer = aPeers.Find(ip);
+  if (peer && peer->role != RelayRole::Agent) {
+    return false; // an entry of another program; no agent runs there
+  }
   if (aKnown.standing == TargetStanding::Gone) {
     return aRounds <= kMaxRoundsForGone && !aPeers.IsFar(ip) &&
            !aPeers.IsSilent(ip);
@@ -69,11 +74,14 @@
   -> std::vector<const KnownTarget*>
 {
   std::vector<const KnownTarget*> missing;
+  std::unordered_set<std::uint32_t> listed;
   for (const auto service : state_.ServicesToSearch(aRoute)) {
     for (const auto index : state_.TargetsOfService(service)) {
       const auto& known = state_.KnownTargets()[index];
-      if (!aQuery.certain.contains(known.target.agent.ip) &&
-          MustAnswer(known, peers_, aQuery.rounds)) {
+      const auto ip = known.target.agent.ip;
+      if (!aQuery.certain.contains(ip) &&
+          MustAnswer(known, peers_, aQuery.rounds) &&
+          listed.insert(ip).second) {
         missing.push_back(&known);
       }
     }
@@ -85,10 +93,12 @@
                             const Query& aQuery,
                             const RelayRoute& aRoute) const -> bool
 {
-  const auto* known = state_.FindAgent(aAgent);
-  return known && !aQuery.certain.contains(aAgent.ip) &&
-         MustAnswer(*known, peers_, aQuery.rounds) &&
-         state_.MayHold(aRoute, known->target.service);
+  return !aQuery.certain.contains(aAgent.ip) &&
+         std::ranges::any_of(state_.TargetsAt(aAgent), [&](auto aIndex) {
+           const auto& known = state_.KnownTargets()[aIndex];
+           return MustAnswer(known, peers_, aQuery.rounds) &&
+                  state_.MayHold(aRoute, known.target.service);
+         });
 }
 
 auto FlowQueries::IsAnyMissing(Query& aQuery, const RelayRoute& aRoute) const
--- a/src/relay/opening_mover.cpp
+++ b/src/relay/opening_mover.cpp
@@ -51,7 +51,7 @@
     return std::nullopt;
   }
   ForgetOldMoves();
-  const auto* self = state_.FindAgent(self_);
+  const auto* self = FindSelf(aService);
   const auto& targets = state_.TargetsOfService(aService);
   if (!self || targets.empty() || moves_.size() >= kMaxRememberedMoves) {
     return std::nullopt;
@@ -99,6 +99,17 @@
   return best;
 }
 
+auto OpeningMover::FindSelf(ServiceId aService) const -> const KnownTarget*
+{
+  for (const auto index : state_.TargetsAt(self_)) {
+    const auto& known = state_.KnownTargets()[index];
+    if (known.target.service == aService) {
+      return &known;
+    }
+  }
+  return nullptr;
+}
+
 auto OpeningMover::OnMoved(const FlowKey& aFlow, const Endpoint& aAgent) -> void
 {
   const auto now = clock_.Now();
--- a/src/relay/opening_mover.h
+++ b/src/relay/opening_mover.h
@@ -48,6 +48,8 @@
   };
 
   auto ForgetOldMoves() -> void;
+  // The own agent's target of the service; null if there is none.
+  auto FindSelf(ServiceId aService) const -> const KnownTarget*;
   // The load that the agent reported, if the report is recent and valid.
   auto UsableReport(const KnownTarget& aKnown, ServiceId aService) const
     -> const PeerRecord*;
--- a/src/relay/peer_messages.cpp
+++ b/src/relay/peer_messages.cpp
@@ -150,6 +150,38 @@
   serialize(aArchive, aValue.coldRemaining);
 }
 
+// Ports of the backend servers, in the order of their targets. Earlier releases
+// do not send them.
+struct BackendPorts
+{
+  std::vector<std::uint16_t> ports;
+};
+
+auto PortsOf(const std::vector<RelayTarget>& aTargets) -> BackendPorts
+{
+  BackendPorts ports;
+  for (const auto& target : aTargets) {
+    ports.ports.push_back(target.backendPort);
+  }
+  return ports;
+}
+
+auto SetPorts(const BackendPorts& aPorts, std::vector<RelayTarget>& aTargets)
+  -> void
+{
+  const auto count = std::min(aPorts.ports.size(), aTargets.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    aTargets[i].backendPort = aPorts.ports[i];
+  }
+}
+
+template<class Archive>
+auto serialize(Archive& aArchive, BackendPorts& aValue) -> void
+{
+  auto ports = Bounded<kMaxTargets>(aValue.ports);
+  aArchive(ports);
+}
+
 template<class Archive>
 auto serialize(Archive& aArchive, TargetSet& aValue) -> void
 {
@@ -418,12 +450,20 @@
   if (!bytes) {
     return leaf::new_error(WireError::Malformed);
   }
-  return Decode(*bytes, [&aReply](InArchive& aArchive, const MemoryBuffer&) {
-    auto routes = Bounded<1>(aReply.routes);
-    auto targets = Bounded<1>(aReply.targets);
-    aArchive(routes, targets);
-    return true;
-  });
+  return DecodeAppended(
+    *bytes,
+    [&aReply](InArchive& aArchive) {
+      auto routes = Bounded<1>(aReply.routes);
+      auto targets = Bounded<1>(aReply.targets);
+      aArchive(routes, targets);
+    },
+    [&aReply](InArchive& aArchive) {
+      BackendPorts ports;
+      aArchive(ports);
+      if (!aReply.targets.empty()) {
+        SetPorts(ports, aReply.targets.front().targets);
+      }
+    });
 }
 
 // Replaces kinds and states of a later release by the most careful known ones.
@@ -561,16 +601,30 @@
   return request;
 }
 
+namespace {
+
+auto HasPorts(const StateReply& aReply) -> bool
+{
+  return !aReply.deltas.empty() &&
+         std::ranges::any_of(aReply.deltas.front().changed,
+                             &RelayTarget::backendPort);
+}
+
+} // namespace
+
 auto EncodeStateReply(const StateReply& aReply) -> std::string
 {
   // Earlier releases, which ask for nothing compact, refuse bytes at the end.
   const bool hasOperations =
     !aReply.evacuations.empty() || !aReply.limits.empty() ||
-    !aReply.history.empty() || HasStoreEra(aReply.digest);
+    !aReply.history.empty() || HasStoreEra(aReply.digest) || HasPorts(aReply);
   if (aReply.deltas.empty() && aReply.packed.empty() && !hasOperations) {
     return Encode(aReply);
   }
   auto reply = aReply;
+  const auto ports = reply.deltas.empty()
+                       ? BackendPorts{}
+                       : PortsOf(reply.deltas.front().changed);
   const auto compact = [&reply](auto... aLater) {
     return Encode(reply,
                   Bounded<1>(reply.deltas),
@@ -580,7 +634,8 @@
   return hasOperations ? compact(Bounded<1>(reply.evacuations),
                                  Bounded<1>(reply.limits),
                                  Bounded<1>(reply.history),
-                                 LaterDigest{ reply.digest })
+                                 LaterDigest{ reply.digest },
+                                 ports)
                        : compact();
 }
 
@@ -589,7 +644,9 @@
 {
   auto routes = aRoutes;
   auto targets = aTargets;
-  return Pack(Encode(Bounded<1>(routes), Bounded<1>(targets)));
+  const auto ports =
+    targets.empty() ? BackendPorts{} : PortsOf(targets.front().targets);
+  return Pack(Encode(Bounded<1>(routes), Bounded<1>(targets), ports));
 }
 
 auto DecodeStateReply(std::string_view aBytes) -> leaf::result<StateReply>
@@ -614,6 +671,13 @@
       LaterDigest later{ digest };
       aArchive(later);
       reply.digest = digest;
+    },
+    [&reply](InArchive& aArchive) {
+      BackendPorts ports;
+      aArchive(ports);
+      if (!reply.deltas.empty()) {
+        SetPorts(ports, reply.deltas.front().changed);
+      }
     }));
   if (!reply.packed.empty()) {
     BOOST_LEAF_CHECK(UnpackInto(reply));
--- a/src/relay/placement_expected_wait.cpp
+++ b/src/relay/placement_expected_wait.cpp
@@ -134,7 +134,7 @@
       return Preference::Preferred;
     }
     const auto& load = peer->load;
-    if (!load.acceptsFlows || load.draining) {
+    if (!load.acceptsFlows || load.draining || order_.ServesOther(aKnown)) {
       return Preference::Doubtful;
     }
     if (!load.failing || aNeedsFailing) {
--- a/src/relay/read_schedule.cpp
+++ b/src/relay/read_schedule.cpp
@@ -3,6 +3,7 @@
 #include "relay/limits.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace damaskwalk {
 
@@ -21,17 +22,22 @@
 auto ReaderRank(const FleetState& aState, const Endpoint& aSelf)
   -> std::uint32_t
 {
-  const auto* own = aSelf.IsValid() ? aState.FindAgent(aSelf) : nullptr;
-  if (!own || own->standing != TargetStanding::Open) {
-    return kMaxStoreTakeoverRank;
-  }
+  // An agent may have several registrations.
   const auto weight = ReaderWeight(aSelf);
-  const auto ahead = std::ranges::count_if(
-    aState.KnownTargets(), [weight](const KnownTarget& aKnown) {
-      return aKnown.standing == TargetStanding::Open &&
-             ReaderWeight(aKnown.target.agent) > weight;
-    });
-  return static_cast<std::uint32_t>(ahead);
+  std::unordered_set<std::uint64_t> ahead;
+  bool isOpen = false;
+  for (const auto& known : aState.KnownTargets()) {
+    if (known.standing != TargetStanding::Open) {
+      continue;
+    }
+    const auto other = ReaderWeight(known.target.agent);
+    isOpen |= known.target.agent == aSelf;
+    if (other > weight) {
+      ahead.insert(other);
+    }
+  }
+  return isOpen ? static_cast<std::uint32_t>(ahead.size())
+                : kMaxStoreTakeoverRank;
 }
 
 auto StartReadDelay(const StartInit& aInit) -> Millis
--- a/src/relay/search_order.cpp
+++ b/src/relay/search_order.cpp
@@ -143,7 +143,15 @@
     !peer || !peer->hasLoad ||
     (peer->load.acceptsFlows && !peer->load.draining && !peer->load.failing);
   return aKnown.standing == TargetStanding::Open && !aKnown.evacuated &&
-         answering && !peers_.IsSilent(ip);
+         answering && !peers_.IsSilent(ip) && !ServesOther(aKnown);
+}
+
+auto SearchOrder::ServesOther(const KnownTarget& aKnown) const -> bool
+{
+  const auto* peer = peers_.Find(aKnown.target.agent.ip);
+  return peer && peer->hasLoad && peer->loadAt > aKnown.since &&
+         peer->load.service.IsValid() &&
+         peer->load.service != aKnown.target.service;
 }
 
 auto SearchOrder::IsSilent(const KnownTarget& aKnown) const -> bool
--- a/src/relay/search_order.h
+++ b/src/relay/search_order.h
@@ -43,6 +43,9 @@
   // True if the target may get new flows and its agent is not known to refuse
   // them.
   auto AcceptsNewFlows(const KnownTarget& aKnown) const -> bool;
+  // True if the agent has reported another service since the registration was
+  // known: the entry is of another program, or of a former server.
+  auto ServesOther(const KnownTarget& aKnown) const -> bool;
   // True if so few of the service's open targets accept new flows that failing
   // ones must be used as well.
   auto MustUseFailing(ServiceId aService) const -> bool;
--- a/src/relay_node/relay_process.cpp
+++ b/src/relay_node/relay_process.cpp
@@ -97,7 +97,9 @@
                                                 init_.log);
   } else {
     agent_ = std::make_unique<AgentRelay>(
-      AgentRelayInit{ settings_.packets, ServiceIdOf(settings_.service) },
+      AgentRelayInit{ settings_.packets,
+                      ServiceIdOf(settings_.service),
+                      settings_.backend.port },
       state_,
       peers_,
       init_.reader,
--- /dev/null
+++ b/tests/foreign_entry_test.cpp
@@ -0,0 +1,265 @@
+// Entries of other programs among the registrations: what they say of a VM must
+// not decide what the agent there believes of its own backend server.
+
+#include "relay/limits.h"
+#include "relay/placement.h"
+#include "relay/search_order.h"
+#include "relay_model.h"
+#include "test_support.h"
+
+namespace damaskwalk {
+
+namespace {
+
+constexpr std::uint32_t kIp = 0x0A000001;
+const ServiceId kService = ServiceIdOf("service-0");
+const Endpoint kAgent{ kIp, kModelAgentPort };
+const OwnTarget kOwn{ kAgent, kService, kModelBackendPort };
+
+auto Entry(std::string aId,
+           ServiceId aService,
+           std::uint16_t aPort,
+           TargetState aState,
+           std::int64_t aStart) -> RelayTarget
+{
+  RelayTarget entry;
+  entry.id = std::move(aId);
+  entry.service = aService;
+  entry.agent = kAgent;
+  entry.backendPort = aPort;
+  entry.failureDomain = "domain-0";
+  entry.state = aState;
+  entry.startedAtMillis = aStart;
+  return entry;
+}
+
+// An entry that is not the server's: of another service, or of another port.
+auto AnyForeignEntry(int aNumber) -> RelayTarget
+{
+  const auto service = *rc::gen::element(
+    kService, ServiceIdOf("service-1"), ServiceIdOf("exporter"));
+  auto port = *rc::gen::elementOf(
+    std::vector<std::uint16_t>{ kModelBackendPort, 9100, 1 });
+  if (service == kService && port == kModelBackendPort) {
+    port = 9100;
+  }
+  return Entry(
+    *rc::gen::element<std::string>("a", "m", "z") + std::to_string(aNumber),
+    service,
+    port,
+    *rc::gen::element(TargetState::Ready, TargetState::Draining),
+    *rc::gen::element<std::int64_t>(INT64_MIN, -1, 0, 999, 1001, INT64_MAX));
+}
+
+auto OpenAndRequest(RelayModel& aModel, std::size_t aCount)
+  -> std::vector<std::size_t>
+{
+  std::vector<std::size_t> flows;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    flows.push_back(aModel.Open(0, 0));
+  }
+  aModel.Run(Millis{ 100 });
+  for (const auto flow : flows) {
+    aModel.SendRequest(flow, 0);
+  }
+  aModel.Run(Millis{ 300 });
+  std::erase_if(flows,
+                [&](auto aFlow) { return aModel.Flow(aFlow).answers == 0; });
+  return flows;
+}
+
+} // namespace
+
+// Any entries of other programs come and go at an agent's address, before and
+// after the server's own. Its own registration stays what it is, and searches
+// for its service's flows visit it.
+TEST(ForeignEntry, AnAgentsOwnRegistrationIsWhatItsServerWrote)
+{
+  Holds("an agent's own registration", [] {
+    ManualClock clock;
+    FleetState state(clock);
+    std::uint64_t revision = 0;
+    std::vector<RelayTarget> foreign;
+    std::optional<RelayTarget> own;
+    for (int step = 0; step < 8; ++step) {
+      switch (*rc::gen::inRange(0, 4)) {
+        case 0:
+          foreign.push_back(AnyForeignEntry(step));
+          break;
+        case 1:
+          if (!foreign.empty()) {
+            foreign.erase(foreign.begin());
+          }
+          break;
+        case 2:
+          own =
+            Entry("own", kService, kModelBackendPort, TargetState::Ready, 1000);
+          break;
+        default:
+          if (own) {
+            own->state = TargetState::Draining;
+          }
+          break;
+      }
+      TargetSet set;
+      set.revision = ++revision;
+      set.targets = foreign;
+      if (own) {
+        set.targets.insert(set.targets.begin() +
+                             *rc::gen::inRange<std::ptrdiff_t>(
+                               0, std::ptrdiff_t(foreign.size()) + 1),
+                           *own);
+      }
+      state.UpdateTargets(set, Millis{ 0 });
+      if (!own) {
+        continue;
+      }
+      const auto found = state.FindOwn(kOwn);
+      RC_ASSERT(found.known != nullptr);
+      RC_ASSERT(found.known->target.id == "own");
+      RC_ASSERT((found.standing == TargetStanding::Leaving) ==
+                found.known->draining);
+      const auto listed = state.TargetsOfService(kService);
+      RC_ASSERT(std::ranges::count_if(listed, [&](auto aIndex) {
+                  return state.KnownTargets()[aIndex].target.agent == kAgent;
+                }) == 1);
+    }
+  });
+}
+
+// A later start under another id holds the port. An entry that drains means
+// that the server drains, whichever started later.
+TEST(ForeignEntry, AServerDrainsIfAnyEntryOfItsPortDrains)
+{
+  const ManualClock clock;
+  FleetState state(clock);
+  TargetSet set;
+  set.revision = 1;
+  set.targets = {
+    Entry("own", kService, kModelBackendPort, TargetState::Draining, 1000),
+    Entry("later", kService, kModelBackendPort, TargetState::Ready, 2000)
+  };
+  state.UpdateTargets(set, Millis{ 0 });
+  EXPECT_EQ(state.FindOwn(kOwn).standing, TargetStanding::Leaving);
+  set.revision = 2;
+  set.targets.erase(set.targets.begin());
+  state.UpdateTargets(set, Millis{ 0 });
+  EXPECT_EQ(state.FindOwn(kOwn).standing, TargetStanding::Open);
+}
+
+// Entries for the VMs of live servers, of a service that no route names, of one
+// that another route names, and of their own service at another port. Guards
+// against resets of live flows, against servers that get no new flows, and
+// against flows of another service.
+TEST(ForeignEntry, LiveFlowsStayAndNewOnesOpen)
+{
+  for (const auto* name : { "exporter", "service-1", "service-0" }) {
+    RelayModel model({ 6, 4 }, 2);
+    const auto flows = OpenAndRequest(model, 30);
+    ASSERT_EQ(flows.size(), 30U);
+    for (std::uint32_t i = 0; i < 3; ++i) {
+      auto entry = Entry("foreign-" + std::to_string(i),
+                         ServiceIdOf(name),
+                         9100,
+                         i == 1 ? TargetState::Draining : TargetState::Ready,
+                         i == 2 ? 0 : 1'000'000);
+      entry.agent.ip = model.TargetIp(i);
+      model.AddEntry(entry);
+    }
+    model.Publish();
+    std::vector<std::uint32_t> opened;
+    for (std::size_t i = 0; i < 3; ++i) {
+      opened.push_back(model.Opened(i));
+    }
+    EXPECT_EQ(OpenAndRequest(model, 30).size(), 30U);
+    for (std::size_t i = 0; i < 3; ++i) {
+      EXPECT_GT(model.Opened(i), opened[i]);
+    }
+    for (std::size_t i = 0; i < model.Targets(); ++i) {
+      model.RestartAgent(i);
+    }
+    model.RestartBalancer(1);
+    for (const auto flow : flows) {
+      model.SendRequest(flow, 1);
+    }
+    model.Run(Millis{ 300 });
+    for (const auto flow : flows) {
+      EXPECT_FALSE(model.Flow(flow).reset);
+      EXPECT_EQ(model.Flow(flow).answers, 2U);
+    }
+    EXPECT_EQ(model.ForeignPackets(), 0U);
+  }
+}
+
+// An entry of another program at another port outlives the server's own, which
+// drains and leaves. No first packet may reach the server for it.
+TEST(ForeignEntry, AForeignEntryDoesNotKeepADrainingServerOpen)
+{
+  RelayModel model({ 6, 4 }, 2);
+  auto entry = Entry("foreign", kService, 9100, TargetState::Ready, 1'000'000);
+  entry.agent.ip = model.TargetIp(0);
+  model.AddEntry(entry);
+  model.SetDraining(0);
+  model.Publish();
+  const auto opened = model.Opened(0);
+  EXPECT_EQ(OpenAndRequest(model, 20).size(), 20U);
+  model.Register(0, false);
+  model.Publish();
+  EXPECT_EQ(OpenAndRequest(model, 20).size(), 20U);
+  EXPECT_EQ(model.Opened(0), opened);
+}
+
+// Registrations of one service at the address of another's agent. New flows go
+// elsewhere once the agent has reported what it serves.
+TEST(ForeignEntry, AnAgentsReportOutweighsTheEntry)
+{
+  ManualClock clock;
+  FleetState state(clock);
+  PeerTable peers(clock);
+  const auto placement =
+    MakePlacementExpectedWait({ "domain-0", 1 }, state, peers, clock);
+  TargetSet set;
+  set.revision = 1;
+  set.targets = {
+    Entry("foreign", kService, 9100, TargetState::Ready, 2000),
+    Entry("own", kService, kModelBackendPort, TargetState::Ready, 1000)
+  };
+  set.targets.back().agent.ip = kIp + 1;
+  state.UpdateTargets(set, Millis{ 0 });
+  clock.Advance(Millis{ 1 });
+  RelayHeartbeat heartbeat;
+  heartbeat.role = RelayRole::Agent;
+  heartbeat.incarnation = 1;
+  heartbeat.load.emplace_back();
+  heartbeat.load.front().service = ServiceIdOf("service-1");
+  peers.OnHeartbeat(kIp, heartbeat);
+  for (std::uint16_t port = 1; port < 100; ++port) {
+    const FlowKey flow{ { 7, port }, { 8, 443 } };
+    EXPECT_EQ(placement->Choose(kService, flow, {}).agent.ip, kIp + 1);
+  }
+}
+
+// Ports reach the agents with the state, whole and as changes; replies of
+// earlier releases have none.
+TEST(ForeignEntry, PortsTravelWithTheState)
+{
+  StateReply reply;
+  reply.deltas.emplace_back();
+  reply.deltas.front().changed.push_back(
+    Entry("own", kService, kModelBackendPort, TargetState::Ready, 1));
+  TargetSet set;
+  set.targets = reply.deltas.front().changed;
+  reply.packed = PackState({}, { set });
+  boost::leaf::try_handle_all(
+    [&]() -> boost::leaf::result<void> {
+      BOOST_LEAF_AUTO(got, DecodeStateReply(EncodeStateReply(reply)));
+      EXPECT_EQ(got.deltas.front().changed.front().backendPort,
+                kModelBackendPort);
+      EXPECT_EQ(got.targets.front().targets.front().backendPort,
+                kModelBackendPort);
+      return {};
+    },
+    [] { FAIL() << "unreadable reply"; });
+}
+
+} // namespace damaskwalk
--- a/tests/relay_model.cpp
+++ b/tests/relay_model.cpp
@@ -52,8 +52,9 @@
   auto node = std::make_unique<Node>(*this, aIp, aTarget);
   if (aTarget) {
     node->agent = std::make_unique<AgentRelay>(
-      AgentRelayInit{ { aIp, kAgentPort },
-                      ServiceIdOf(ServiceName(targets_[*aTarget]->service)) },
+      AgentRelayInit{ { aIp, kModelAgentPort },
+                      ServiceIdOf(ServiceName(targets_[*aTarget]->service)),
+                      kModelBackendPort },
       node->state,
       node->peers,
       reader_,
--- a/tests/relay_model.h
+++ b/tests/relay_model.h
@@ -28,6 +28,8 @@
 // starts with "bad" is an answer with 500.
 inline constexpr std::uint32_t kModelUploadBytes = 12000;
 inline constexpr std::uint32_t kModelPartBytes = 1000;
+inline constexpr std::uint16_t kModelAgentPort = 8172;
+inline constexpr std::uint16_t kModelBackendPort = 8165;
 
 class ModelContentReader final : public ContentReader
 {
@@ -120,10 +122,11 @@
   auto CrashBackend(std::size_t aTarget) -> void;
   auto StartBackend(std::size_t aTarget) -> void;
   auto FreezeBackend(std::size_t aTarget, bool aFrozen) -> void;
-  // The backend server dies, and another service's server starts at its
-  // address.
+  // The VM dies, and one of another service starts at its address.
   auto ReuseAddress(std::size_t aTarget, std::size_t aService) -> void;
   auto SetDraining(std::size_t aTarget) -> void;
+  // Registers an entry of another program. Takes effect with the next Publish.
+  auto AddEntry(RelayTarget aEntry) -> void;
   auto Register(std::size_t aTarget, bool aRegistered) -> void;
   // Updates the registrations in all processes, or only in those that aSelects
   // selects; the others keep their old view.
@@ -224,6 +227,7 @@
   std::vector<ModelFlow> flows_;
   std::map<FlowKey, std::size_t> byKey_;
   std::size_t services_;
+  std::vector<RelayTarget> foreignEntries_;
   std::uint32_t routeChanges_ = 0;
   // By the service whose address the route has: services that it names, and
   // those that it ever named.
--- a/tests/relay_model_faults.cpp
+++ b/tests/relay_model_faults.cpp
@@ -94,6 +94,7 @@
   CrashBackend(aTarget);
   targets_[aTarget]->service = aService;
   StartBackend(aTarget);
+  RestartAgent(aTarget);
 }
 
 auto RelayModel::FreezeBackend(std::size_t aTarget, bool aFrozen) -> void
@@ -106,6 +107,11 @@
   targets_[aTarget]->draining = true;
 }
 
+auto RelayModel::AddEntry(RelayTarget aEntry) -> void
+{
+  foreignEntries_.push_back(std::move(aEntry));
+}
+
 auto RelayModel::Register(std::size_t aTarget, bool aRegistered) -> void
 {
   targets_[aTarget]->registered = aRegistered;
@@ -139,13 +145,16 @@
     entry.id = "t" + std::to_string(target->ip) + "-" +
                std::to_string(target->incarnation);
     entry.service = ServiceIdOf(ServiceName(target->service));
-    entry.agent = { target->ip, kAgentPort };
+    entry.agent = { target->ip, kModelAgentPort };
     entry.failureDomain = "domain-" + std::to_string(target->ip % 3);
     entry.slots = target->slots;
     entry.state = target->draining ? TargetState::Draining : TargetState::Ready;
     entry.startedAtMillis = static_cast<std::int64_t>(target->incarnation);
+    entry.backendPort = kModelBackendPort;
     set.targets.push_back(entry);
   }
+  set.targets.insert(
+    set.targets.end(), foreignEntries_.begin(), foreignEntries_.end());
   return set;
 }
 
--- a/tests/relay_model_parts.h
+++ b/tests/relay_model_parts.h
@@ -12,7 +12,6 @@
 inline constexpr std::uint32_t kTargetIps = 0x0A010000;
 inline constexpr std::uint32_t kBalancerIps = 0x0A020000;
 inline constexpr std::uint32_t kAddressIp = 0xC6120001;
-inline constexpr std::uint16_t kAgentPort = 8172;
 inline constexpr Millis kLinkDelay{ 1 };
 inline constexpr Millis kTickPeriod{ 25 };
 
--- a/tests/relay_state_test.cpp
+++ b/tests/relay_state_test.cpp
@@ -8,6 +8,7 @@
 #include "relay/placement.h"
 #include "relay/pull_schedule.h"
 #include "relay/read_schedule.h"
+#include "relay/search_order.h"
 #include "test_support.h"
 
 #include <set>
@@ -92,17 +93,30 @@
   EXPECT_EQ(StandingOf(state, 1), TargetStanding::Gone);
 }
 
-// The address of a deregistered server is reused by another service.
+// The address of a deregistered server is reused by another service. New flows
+// of the former service must not go there once the agent has spoken; the lapsed
+// registration is forgotten like any other.
 TEST(FleetState, AReusedAddressBelongsToItsNewService)
 {
-  const ManualClock clock;
+  ManualClock clock;
   FleetState state(clock);
+  PeerTable peers(clock);
+  const SearchOrder order(state, peers);
   state.UpdateTargets(SetOf(1, { Target(1) }), Millis{ 0 });
   auto reused = Target(1);
   reused.id = "other";
   reused.service = ServiceIdOf("other-service");
   state.UpdateTargets(SetOf(2, { reused }), Millis{ 0 });
   EXPECT_EQ(state.FindAgent(reused.agent)->target.service, reused.service);
+  const auto former = state.TargetsOfService(ServiceIdOf("s"));
+  ASSERT_EQ(former.size(), 1U);
+  EXPECT_FALSE(order.AcceptsNewFlows(state.KnownTargets()[former.front()]));
+  EXPECT_EQ(state.FindOwn({ reused.agent, reused.service }).standing,
+            TargetStanding::Open);
+  clock.Advance(kLapsedTargetGracePeriod);
+  state.Tick();
+  clock.Advance(kGoneTargetRetention);
+  state.Tick();
   EXPECT_TRUE(state.TargetsOfService(ServiceIdOf("s")).empty());
 }
 
