--- a/src/relay/read_schedule.cpp
+++ b/src/relay/read_schedule.cpp
@@ -109,7 +109,7 @@
 auto ReadSchedule::OnReadFinished(bool aSucceeded) -> void
 {
   failed_ = !aSucceeded;
-  reads_ += aSucceeded ? 1 : 0;
+  ++reads_;
   nextAllowed_ =
     clock_.Now() + (aSucceeded ? kMinStoreReadGap : kStoreRetryDelay);
 }
--- a/src/relay_node/interfaces.h
+++ b/src/relay_node/interfaces.h
@@ -41,7 +41,8 @@
 
 enum class StateSourceError : std::uint8_t
 {
-  Unreachable, // no answer within the timeout, or the connection was lost
+  Unreachable, // no connection
+  NoAnswer,    // no answer within the timeout, or the connection was lost
   Refused,     // answered with an error status
   BadAnswer,   // the answer cannot be decoded
 };
--- a/src/relay_node/relay_process.cpp
+++ b/src/relay_node/relay_process.cpp
@@ -34,6 +34,8 @@
   switch (aError) {
     case StateSourceError::Unreachable:
       return "unreachable";
+    case StateSourceError::NoAnswer:
+      return "no_answer";
     case StateSourceError::Refused:
       return "refused";
     default:
--- a/src/relay_node/relay_process.h
+++ b/src/relay_node/relay_process.h
@@ -136,6 +136,14 @@
   // @param aUrgent see PullSchedule::Begin.
   auto StartPull(std::uint32_t aIp, bool aUrgent) -> void;
   auto ReadStore(ReadCause aCause) -> Task;
+  // Result of reading a part of the state from the store.
+  struct PartRead
+  {
+    std::optional<StateSourceError> error;
+    bool changed = false; // something else came into force
+  };
+  auto ReadTargets() -> boost::asio::awaitable<PartRead>;
+  auto ReadOperators() -> boost::asio::awaitable<PartRead>;
   // @return true if other routes or evacuations came into force.
   auto OnOperatorRead(Decoded<OperatorState>& aRead) -> bool;
   auto OnStoreError(const char* aWhat, StateSourceError aError) -> void;
--- a/src/relay_node/relay_state.cpp
+++ b/src/relay_node/relay_state.cpp
@@ -102,50 +102,63 @@
 {
   readingStore_ = true;
   const auto callsBefore = init_.source.Calls();
-  const auto began = init_.clock.Now();
   const bool wantsRoutes =
     readSchedule_.WantsRoutes() || state_.Routes().version == 0;
   const auto eraBefore = state_.StoreEra();
-  auto targets = co_await init_.source.ReadTargets();
-  bool changed = false;
-  bool succeeded = true;
-  if (const auto* error = std::get_if<StateSourceError>(&targets)) {
-    OnStoreError("targets", *error);
-    succeeded = false;
-  } else {
-    const auto took =
-      std::chrono::duration_cast<Millis>(init_.clock.Now() - began);
-    const auto& read = std::get<Decoded<TargetSet>>(targets);
-    targetFindings_.Update(read.value.revision.number, read.findings);
-    OnTargetsRead(read.value.revision);
-    changed |= state_.UpdateTargets(read.value, took);
-  }
+  const auto targets = co_await ReadTargets();
+  auto operators = PartRead{};
+  // A read of one part that fails says nothing of the other.
   const bool isNewEra = state_.StoreEra() != eraBefore;
-  if (succeeded && (wantsRoutes || isNewEra)) {
-    auto operators = co_await init_.source.ReadOperatorState();
-    if (const auto* error = std::get_if<StateSourceError>(&operators)) {
-      OnStoreError("routes", *error);
-      succeeded = false;
-    } else {
-      changed |= OnOperatorRead(std::get<Decoded<OperatorState>>(operators));
-    }
+  if (targets.error != StateSourceError::Unreachable &&
+      (wantsRoutes || isNewEra || targets.error)) {
+    operators = co_await ReadOperators();
   }
   storeCalls_.at(static_cast<std::size_t>(aCause)) +=
     init_.source.Calls() - callsBefore;
   readingStore_ = false;
+  const bool succeeded = !targets.error && !operators.error;
   readSchedule_.OnReadFinished(succeeded);
   if (succeeded) {
     OnStoreReadSucceeded();
   }
+  const bool changed = targets.changed || operators.changed;
   if (changed) {
     OnStateChanged("store");
   }
-  if (succeeded) {
+  if (changed || !targets.error) {
     AnnounceSelf();
   }
   FlushAll();
 }
 
+auto RelayProcess::ReadTargets() -> asio::awaitable<PartRead>
+{
+  const auto began = init_.clock.Now();
+  const auto result = co_await init_.source.ReadTargets();
+  if (const auto* error = std::get_if<StateSourceError>(&result)) {
+    OnStoreError("targets", *error);
+    co_return PartRead{ *error };
+  }
+  const auto took =
+    std::chrono::duration_cast<Millis>(init_.clock.Now() - began);
+  const auto& read = std::get<Decoded<TargetSet>>(result);
+  targetFindings_.Update(read.value.revision.number, read.findings);
+  OnTargetsRead(read.value.revision);
+  co_return PartRead{ {}, state_.UpdateTargets(read.value, took) };
+}
+
+auto RelayProcess::ReadOperators() -> asio::awaitable<PartRead>
+{
+  auto result = co_await init_.source.ReadOperatorState();
+  if (const auto* error = std::get_if<StateSourceError>(&result)) {
+    OnStoreError("routes", *error);
+    co_return PartRead{ *error };
+  }
+  co_return PartRead{
+    {}, OnOperatorRead(std::get<Decoded<OperatorState>>(result))
+  };
+}
+
 auto RelayProcess::OnOperatorRead(Decoded<OperatorState>& aRead) -> bool
 {
   auto& routes = aRead.value.routes;
--- a/standins/http_server.h
+++ b/standins/http_server.h
@@ -15,6 +15,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <charconv>
 #include <functional>
 #include <map>
 #include <string>
@@ -79,6 +80,23 @@
 
 // @return the value of a query parameter of a request target; aDefault when it
 // is missing.
+inline auto PercentDecoded(std::string_view aText) -> std::string
+{
+  std::string text;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    unsigned byte = 0;
+    const auto* digits = aText.data() + i + 1;
+    if (aText[i] == '%' && i + 2 < aText.size() &&
+        std::from_chars(digits, digits + 2, byte, 16).ptr == digits + 2) {
+      text.push_back(static_cast<char>(byte));
+      i += 2;
+    } else {
+      text.push_back(aText[i]);
+    }
+  }
+  return text;
+}
+
 inline auto QueryParameter(std::string_view aTarget,
                            const std::string& aName,
                            std::string_view aDefault) -> std::string
@@ -93,7 +111,7 @@
     return std::string(aDefault);
   }
   const auto start = at + aName.size() + 2;
-  return rest.substr(start, rest.find('&', start) - start);
+  return PercentDecoded(rest.substr(start, rest.find('&', start) - start));
 }
 
 // Serves on one thread until SIGTERM or SIGINT.
--- a/standins/store.h
+++ b/standins/store.h
@@ -44,8 +44,8 @@
   auto Put(const std::string& aKey, std::string aValue) -> void
   {
     ++state_.revision;
+    state_.history.push_back({ aKey, state_.revision, false, aValue });
     state_.items[aKey] = { std::move(aValue), state_.revision };
-    state_.history.push_back({ aKey, state_.revision, false });
   }
   auto Delete(const std::string& aKey) -> void
   {
@@ -70,6 +70,9 @@
     pageItems_ = aPageItems;
     restoresAfterPage_ = true;
   }
+  auto SetPageItems(std::size_t aItems) -> void { pageItems_ = aItems; }
+  // Refuses calls whose target begins so; empty: none.
+  auto Refuse(std::string aTarget) -> void { refused_ = std::move(aTarget); }
   // Sends this in place of the era; empty: no header.
   auto SetEraText(std::optional<std::string> aText) -> void
   {
@@ -91,6 +94,7 @@
     std::string key;
     std::uint64_t revision = 0;
     bool deleted = false;
+    std::string value; // as it was written
   };
   struct State
   {
@@ -107,19 +111,23 @@
     return encoded;
   }
 
-  auto ToJson(const std::string& aKey) const -> boost::json::object
+  static auto ToJson(const std::string& aKey, const Item& aItem)
+    -> boost::json::object
   {
-    const auto& item = state_.items.at(aKey);
     return { { "key", aKey },
-             { "value", ToBase64(item.value) },
-             { "revision", item.revision },
-             { "created", item.revision },
+             { "value", ToBase64(aItem.value) },
+             { "revision", aItem.revision },
+             { "created", aItem.revision },
              { "lease", 0 } };
   }
 
   auto Answer(const std::string& aTarget, BeastResponse& aResponse) -> void
   {
     ++calls_;
+    if (!refused_.empty() && aTarget.starts_with(refused_)) {
+      aResponse.result(http::status::service_unavailable);
+      return;
+    }
     if (const auto era = eraText_.value_or(std::to_string(era_));
         !era.empty()) {
       aResponse.set("Store-Era", era);
@@ -137,7 +145,7 @@
         if (truncated) {
           break;
         }
-        items.push_back(ToJson(key));
+        items.push_back(ToJson(key, item));
       }
       aResponse.body() =
         boost::json::serialize(boost::json::object{ { "items", items },
@@ -162,8 +170,8 @@
         events.push_back({ { "key", change.key },
                            { "revision", change.revision },
                            { "deleted", true } });
-      } else if (state_.items.contains(change.key)) {
-        events.push_back(ToJson(change.key));
+      } else {
+        events.push_back(ToJson(change.key, { change.value, change.revision }));
       }
     }
     aResponse.body() = boost::json::serialize(
@@ -178,6 +186,7 @@
   std::size_t pageItems_ = 500;
   bool restoresAfterPage_ = false;
   std::uint64_t calls_ = 0;
+  std::string refused_;
 };
 
 } // namespace damaskwalk::standin
