Peers: what was known of an address does not pass to its next VM

Of the same kind: a process that had stopped without flows was believed to hold none for up to a minute, although a successor that is far or not watched announces itself to others only, and although another server may have registered there since; searches left it out and could call its flows lost. And a last heartbeat of a former process that arrives late counted as its successor's. Both are tied to the registration and the incarnation now.

--- a/src/relay/flow_queries.cpp
+++ b/src/relay/flow_queries.cpp
@@ -25,7 +25,7 @@
     return aRounds <= kMaxRoundsForGone && !aPeers.IsFar(ip) &&
            !aPeers.IsSilent(ip);
   }
-  return !aPeers.HasStoppedWithoutFlows(ip);
+  return !aPeers.HasStoppedWithoutFlows(ip, aKnown.since);
 }
 
 } // namespace
--- a/src/relay/peer_table.cpp
+++ b/src/relay/peer_table.cpp
@@ -27,14 +27,21 @@
   -> bool
 {
   const auto now = clock_.Now();
-  expected_.erase(aIp);
-  placedAtUnknown_.erase(aIp);
   auto [found, isNew] = peers_.try_emplace(aIp);
   auto& peer = found->second;
+  if (peer.formerIncarnation != 0 &&
+      peer.formerIncarnation == aHeartbeat.incarnation) {
+    return false;
+  }
+  expected_.erase(aIp);
+  placedAtUnknown_.erase(aIp);
   const bool restarted = !isNew && peer.incarnation != aHeartbeat.incarnation;
   // An older datagram of a stopped process may arrive after its last one.
   peer.stopped = aHeartbeat.stopping || (peer.stopped && !restarted);
   peer.role = aHeartbeat.role;
+  if (restarted) {
+    peer.formerIncarnation = peer.incarnation;
+  }
   peer.incarnation = aHeartbeat.incarnation;
   peer.digest = aHeartbeat.digest;
   peer.lastHeartbeatAt = now;
@@ -173,10 +180,12 @@
          clock_.Now() - peer->loadAt <= kFarLoadLifetime;
 }
 
-auto PeerTable::HasStoppedWithoutFlows(std::uint32_t aIp) const -> bool
+auto PeerTable::HasStoppedWithoutFlows(std::uint32_t aIp,
+                                       TimePoint aRegistered) const -> bool
 {
   const auto* peer = Find(aIp);
-  return peer && peer->stopped && peer->hasLoad && peer->load.noFlows;
+  return peer && peer->stopped && peer->hasLoad && peer->load.noFlows &&
+         aRegistered <= peer->loadAt && IsWatched(aIp) && !IsFar(aIp);
 }
 
 auto PeerTable::Tick() -> void
--- a/src/relay/peer_table.h
+++ b/src/relay/peer_table.h
@@ -18,6 +18,7 @@
 {
   RelayRole role = RelayRole::Balancer;
   std::uint64_t incarnation = 0;
+  std::uint64_t formerIncarnation = 0; // of the process before; 0: none known
   bool stopped = false; // announced by the peer, and no new process heard since
   StateDigest digest;
   TimePoint lastHeartbeatAt;
@@ -37,6 +38,7 @@
 public:
   explicit PeerTable(const Clock& aClock);
 
+  // A heartbeat of the peer's former process, which arrives late, is ignored.
   // @return true if the peer is new or was restarted.
   auto OnHeartbeat(std::uint32_t aIp, const RelayHeartbeat& aHeartbeat) -> bool;
   // Expects heartbeats of the peer from now on, even if it has sent none yet.
@@ -65,8 +67,12 @@
   // heartbeats since it was expected or last heard; a far agent, if its domain
   // reports so.
   auto IsSilent(std::uint32_t aIp) const -> bool;
-  // The peer has stopped, and its backend server holds no flow.
-  auto HasStoppedWithoutFlows(std::uint32_t aIp) const -> bool;
+  // The peer has stopped, and the backend server beside it, which was
+  // registered then, holds no flow. Not known of agents whose next start may go
+  // unheard.
+  // @param aRegistered since when the server's registration is known.
+  auto HasStoppedWithoutFlows(std::uint32_t aIp, TimePoint aRegistered) const
+    -> bool;
   // Sets the period at which peers send; both sides derive it from the number
   // of targets.
   auto SetHeartbeatPeriod(Millis aPeriod) -> void { period_ = aPeriod; }
--- a/src/relay/search_order.cpp
+++ b/src/relay/search_order.cpp
@@ -166,7 +166,7 @@
 auto SearchOrder::MayHoldFlows(const KnownTarget& aKnown) const -> bool
 {
   return aKnown.standing != TargetStanding::Gone &&
-         !peers_.HasStoppedWithoutFlows(aKnown.target.agent.ip);
+         !peers_.HasStoppedWithoutFlows(aKnown.target.agent.ip, aKnown.since);
 }
 
 auto SearchOrder::MustUseFailing(ServiceId aService) const -> bool
