--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -121,6 +121,8 @@
 // At the first start of a fleet, callers open no flows within this time after
 // the processes start.
 constexpr Millis kFirstStartTime{ 5000 };
+// Most services that a route is split over.
+constexpr std::size_t kMaxServicesPerRoute = 1024;
 // Most former services that a process keeps and sends.
 constexpr std::size_t kMaxFormerServices = 65536;
 // Shortest time between two pulls of a peer's route history.
@@ -272,6 +274,9 @@
 // request, and no agent's tables hold as many.
 constexpr std::chrono::microseconds kMaxReportedServiceTime{ 60000000 };
 constexpr std::uint32_t kMaxReportedInFlight = 100000;
+constexpr std::uint32_t kMaxReportedPerMille = 1000;
+// Longest duration in a message; the age of a state that was never read.
+constexpr Millis kMaxReportedDuration = std::chrono::hours{ 24 };
 // Most moves that an agent remembers; it moves none beyond that. They are
 // forgotten after kMaxFirstPacketAge; each costs about 100 bytes.
 constexpr std::size_t kMaxRememberedMoves = 4096;
--- a/src/relay/opening_mover.cpp
+++ b/src/relay/opening_mover.cpp
@@ -15,13 +15,12 @@
 
 auto IsInRange(const BackendLoad& aLoad) -> bool
 {
-  constexpr std::uint32_t kMaxPerMille = 1000;
   constexpr std::uint32_t kHundredths = 100;
   return aLoad.slots > 0 && aLoad.serviceMicros > 0 &&
          microseconds{ aLoad.serviceMicros } <= kMaxReportedServiceTime &&
          aLoad.inFlight <= kMaxReportedInFlight &&
          aLoad.meanInFlightHundredths <= kMaxReportedInFlight * kHundredths &&
-         aLoad.failurePerMille <= kMaxPerMille;
+         aLoad.failurePerMille <= kMaxReportedPerMille;
 }
 
 } // namespace
--- a/src/relay/peer_messages.cpp
+++ b/src/relay/peer_messages.cpp
@@ -24,7 +24,6 @@
 constexpr std::size_t kMaxPackedBytes = std::size_t{ 4 } * 1024 * 1024;
 constexpr std::size_t kMaxRoutes = 65536;
 constexpr std::size_t kMaxTargets = 65536;
-constexpr std::size_t kMaxServicesPerRoute = 64;
 constexpr std::size_t kMaxEvacuatedDomains = 4096;
 constexpr std::size_t kMaxServiceLimits = 65536;
 
@@ -35,7 +34,9 @@
 {
   std::int64_t count = aValue.count();
   aArchive(count);
-  aValue = Millis{ count };
+  // Sums of what peers send must not overflow.
+  aValue =
+    std::clamp(Millis{ count }, -kMaxReportedDuration, kMaxReportedDuration);
 }
 
 template<class Archive>
@@ -43,6 +44,7 @@
 {
   aArchive(aValue.routes, aValue.targets.number, aValue.targetsHash);
   serialize(aArchive, aValue.age);
+  aValue.age = std::max(aValue.age, Millis{ 0 });
 }
 
 template<class Archive>
@@ -60,6 +62,16 @@
            aValue.flows,
            aValue.serviceMicros,
            aValue.failurePerMille);
+  constexpr std::uint32_t kHundredths = 100;
+  const auto limit = [](std::uint32_t& aField, std::uint32_t aMost) {
+    aField = std::min(aField, aMost);
+  };
+  limit(aValue.slots, kMaxReportedInFlight);
+  limit(aValue.inFlight, kMaxReportedInFlight);
+  limit(aValue.meanInFlightHundredths, kMaxReportedInFlight * kHundredths);
+  limit(aValue.serviceMicros,
+        static_cast<std::uint32_t>(kMaxReportedServiceTime.count()));
+  limit(aValue.failurePerMille, kMaxReportedPerMille);
 }
 
 template<class Archive>
--- a/src/relay/route_history.cpp
+++ b/src/relay/route_history.cpp
@@ -102,6 +102,14 @@
   sinceGap_.reset();
 }
 
+auto RouteHistory::OnPeerVersion(DocumentVersion aVersion) -> void
+{
+  if (aVersion >= newestHeard_) {
+    newestHeard_ = aVersion;
+    newestHeardAt_ = clock_.Now();
+  }
+}
+
 auto RouteHistory::Merge(const RouteHistoryReport& aReport,
                          DocumentVersion aVersion,
                          Millis aTook) -> bool
@@ -164,7 +172,9 @@
   if (version_ == 0) {
     return startsComplete_;
   }
-  return newestHeard_ <= version_ &&
+  const bool isBehind =
+    newestHeard_ > version_ && clock_.Now() - newestHeardAt_ < lifetime_;
+  return !isBehind &&
          (IsWhole(coverage_) || (sinceGap_ && IsWhole(*sinceGap_)));
 }
 
--- a/src/relay/route_history.h
+++ b/src/relay/route_history.h
@@ -7,7 +7,6 @@
 #include "core/clock.h"
 #include "core/types.h"
 
-#include <algorithm>
 #include <map>
 #include <optional>
 #include <vector>
@@ -56,10 +55,7 @@
   auto OnSuccession(DocumentVersion aSince, DocumentVersion aNewest) -> void;
   // A peer has this version. A newer one than the own may name services that
   // are not known here.
-  auto OnPeerVersion(DocumentVersion aVersion) -> void
-  {
-    newestHeard_ = std::max(newestHeard_, aVersion);
-  }
+  auto OnPeerVersion(DocumentVersion aVersion) -> void;
   // @param aVersion routes of the peer that made the report. With others than
   // the own ones it is not complete: it lacks the services that they name.
   // @param aTook time since the report was made.
@@ -101,6 +97,7 @@
   bool wasComplete_ = false;    // at the last Tick
   DocumentVersion version_ = 0; // of the routes in force; 0: none
   DocumentVersion newestHeard_ = 0;
+  TimePoint newestHeardAt_;
   Coverage coverage_;                // the longest one
   std::optional<Coverage> sinceGap_; // from the last gap on
   std::uint64_t hash_ = 0;
--- a/src/relay_node/relay_peers.cpp
+++ b/src/relay_node/relay_peers.cpp
@@ -29,7 +29,7 @@
         exchange_.OnHeartbeat(aFrom.ip, *heartbeat, *this);
       } else if (const auto* location =
                    std::get_if<FlowLocation>(&message.body)) {
-        if (balancer_) {
+        if (balancer_ && location->agent.ip == aFrom.ip) {
           balancer_->OnFlowLocation(*location);
         }
       } else if (const auto* report =
@@ -51,7 +51,12 @@
 {
   if (const auto* registration =
         std::get_if<FlowRegistration>(&aMessage.body)) {
-    agent_->OnRegistration(*registration);
+    // An agent registers its own flows only.
+    if (registration->agent == Endpoint{ aFrom, settings_.packets.port }) {
+      agent_->OnRegistration(*registration);
+    } else {
+      ++malformedPeerMessages_;
+    }
   } else if (auto* query = std::get_if<FlowQuery>(&aMessage.body)) {
     const auto packet = init_.codec.Decode(query->packet, PacketOrigin::Caller);
     if (packet) {
--- a/src/relay_node/relay_process.h
+++ b/src/relay_node/relay_process.h
@@ -142,6 +142,10 @@
     std::optional<StateSourceError> error;
     bool changed = false; // something else came into force
   };
+  // A read that ends with an exception failed; the next one follows all the
+  // same.
+  auto Guarded(boost::asio::awaitable<PartRead> aRead)
+    -> boost::asio::awaitable<PartRead>;
   auto ReadTargets() -> boost::asio::awaitable<PartRead>;
   auto ReadOperators() -> boost::asio::awaitable<PartRead>;
   // @return true if other routes or evacuations came into force.
--- a/src/relay_node/relay_state.cpp
+++ b/src/relay_node/relay_state.cpp
@@ -105,13 +105,13 @@
   const bool wantsRoutes =
     readSchedule_.WantsRoutes() || state_.Routes().version == 0;
   const auto eraBefore = state_.StoreEra();
-  const auto targets = co_await ReadTargets();
+  const auto targets = co_await Guarded(ReadTargets());
   auto operators = PartRead{};
   // A read of one part that fails says nothing of the other.
   const bool isNewEra = state_.StoreEra() != eraBefore;
   if (targets.error != StateSourceError::Unreachable &&
       (wantsRoutes || isNewEra || targets.error)) {
-    operators = co_await ReadOperators();
+    operators = co_await Guarded(ReadOperators());
   }
   storeCalls_.at(static_cast<std::size_t>(aCause)) +=
     init_.source.Calls() - callsBefore;
@@ -131,6 +131,17 @@
   FlushAll();
 }
 
+auto RelayProcess::Guarded(asio::awaitable<PartRead> aRead)
+  -> asio::awaitable<PartRead>
+{
+  try {
+    co_return co_await std::move(aRead);
+  } catch (const std::exception&) {
+    guard_.Run([] { throw; });
+  }
+  co_return PartRead{ StateSourceError::BadAnswer };
+}
+
 auto RelayProcess::ReadTargets() -> asio::awaitable<PartRead>
 {
   const auto began = init_.clock.Now();
--- a/src/runtime/platform_client.cpp
+++ b/src/runtime/platform_client.cpp
@@ -3,13 +3,13 @@
 #include "core/config.h"
 #include "core/document_version.h"
 #include "runtime/bulk.h"
+#include "runtime/vm_listing.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
-#include <boost/json.hpp>
 
 namespace damaskwalk {
 
@@ -24,37 +24,6 @@
 constexpr Millis kReadTimeout{ 2000 };
 constexpr std::size_t kMaxDocumentBytes = std::size_t{ 16 } * 1024 * 1024;
 
-auto ParseListing(const std::string& aText)
-  -> leaf::result<std::vector<ListedVm>>
-{
-  boost::system::error_code error;
-  const auto value = boost::json::parse(aText, error);
-  if (error || !value.is_array()) {
-    return leaf::new_error(PlatformError::BadAnswer);
-  }
-  std::vector<ListedVm> listing;
-  for (const auto& item : value.as_array()) {
-    const auto* object = item.if_object();
-    const auto* member = object ? object->if_contains("member") : nullptr;
-    if (!member || !member->is_string()) {
-      return leaf::new_error(PlatformError::BadAnswer);
-    }
-    const auto text = [object](const char* aKey) -> std::string {
-      const auto* field = object->if_contains(aKey);
-      return field && field->is_string() ? std::string(field->get_string())
-                                         : std::string();
-    };
-    const auto endpoint = ParseEndpoint(text("member"));
-    if (!endpoint) {
-      return leaf::new_error(PlatformError::BadAnswer);
-    }
-    const auto role = text("role") == "balancer" ? Role::Balancer : Role::Agent;
-    listing.push_back(
-      { *endpoint, role, text("failure_domain"), text("state") == "leaving" });
-  }
-  return listing;
-}
-
 } // namespace
 
 auto PlatformClient::Get(std::string aTarget,
@@ -120,7 +89,7 @@
   if (response.status != 200) {
     co_return leaf::new_error(PlatformError::Unreachable);
   }
-  co_return ParseListing(response.body);
+  co_return DecodeListing(response.body);
 }
 
 } // namespace damaskwalk
--- a/tests/store_read_test.cpp
+++ b/tests/store_read_test.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <stdexcept>
+
 namespace damaskwalk {
 
 namespace {
@@ -99,6 +101,9 @@
   auto ReadTargets() -> asio::awaitable<ReadResult<Decoded<TargetSet>>> override
   {
     ++targetReads_;
+    if (targetsFail_ && targetReads_ == 1) {
+      throw std::length_error("too long");
+    }
     if (targetsFail_) {
       co_return StateSourceError::NoAnswer;
     }
@@ -226,7 +231,7 @@
 }
 
 // Guards against a part of the state that is not read because the read of
-// another part fails, again and again.
+// another part fails, again and again, or ends with an exception.
 TEST_F(StoreRead, APartThatFailsDoesNotHoldUpTheOthers)
 {
   class NoSettings final : public SettingsSource
