Searches: a balancer's address may be an agent's by now

A search left out an entry at whose address a balancer had been heard, so that entries of other programs hold up no verdict. A balancer's VM that is lost, and whose address is used again beside a server, leaves that belief for up to a minute where the new agent is not heard (far, or not watched): its live flows could be called lost. The balancer must have been heard since the registration is known.

Test: ReusedAddress.ABalancersAddressMayHaveAnAgentNow.

--- a/src/relay/flow_queries.cpp
+++ b/src/relay/flow_queries.cpp
@@ -17,9 +17,8 @@
                 std::uint32_t aRounds) -> bool
 {
   const auto ip = aKnown.target.agent.ip;
-  const auto* peer = aPeers.Find(ip);
-  if (peer && peer->role != RelayRole::Agent) {
-    return false; // an entry of another program; no agent runs there
+  if (aPeers.RunsNoAgent(ip, aKnown.since)) {
+    return false; // an entry of another program
   }
   if (aKnown.standing == TargetStanding::Gone) {
     return aRounds <= kMaxRoundsForGone && !aPeers.IsFar(ip) &&
--- a/src/relay/peer_table.cpp
+++ b/src/relay/peer_table.cpp
@@ -188,6 +188,14 @@
          aRegistered <= peer->loadAt && IsWatched(aIp) && !IsFar(aIp);
 }
 
+auto PeerTable::RunsNoAgent(std::uint32_t aIp, TimePoint aRegistered) const
+  -> bool
+{
+  const auto* peer = Find(aIp);
+  return peer && peer->role != RelayRole::Agent &&
+         peer->lastHeartbeatAt > aRegistered;
+}
+
 auto PeerTable::Tick() -> void
 {
   const auto now = clock_.Now();
--- a/src/relay/peer_table.h
+++ b/src/relay/peer_table.h
@@ -73,6 +73,9 @@
   // @param aRegistered since when the server's registration is known.
   auto HasStoppedWithoutFlows(std::uint32_t aIp, TimePoint aRegistered) const
     -> bool;
+  // A balancer was heard at the address since a target was registered there.
+  // @param aRegistered since when the registration is known.
+  auto RunsNoAgent(std::uint32_t aIp, TimePoint aRegistered) const -> bool;
   // Sets the period at which peers send; both sides derive it from the number
   // of targets.
   auto SetHeartbeatPeriod(Millis aPeriod) -> void { period_ = aPeriod; }
--- a/tests/reused_address_test.cpp
+++ b/tests/reused_address_test.cpp
@@ -125,4 +125,22 @@
   EXPECT_FALSE(peers.HasStoppedWithoutFlows(kIp, registered));
 }
 
+// A balancer's address is used again by an agent that has not been heard, while
+// the balancer's last heartbeat is remembered. Guards against a search that
+// leaves the agent out.
+TEST(ReusedAddress, ABalancersAddressMayHaveAnAgentNow)
+{
+  ManualClock clock;
+  PeerTable peers(clock);
+  const auto before = clock.Now();
+  clock.Advance(Millis{ 1 });
+  RelayHeartbeat heartbeat;
+  heartbeat.incarnation = 1;
+  peers.OnHeartbeat(kIp, heartbeat);
+  EXPECT_TRUE(peers.RunsNoAgent(kIp, before));
+  clock.Advance(Millis{ 2000 });
+  EXPECT_FALSE(peers.RunsNoAgent(kIp, clock.Now()));
+  EXPECT_FALSE(peers.RunsNoAgent(kIp + 1, before));
+}
+
 } // namespace damaskwalk
