Store client: what a failed page leaves unread is a finding

The configuration is used when a later page of the range fails. That the evacuations were not read was reported nowhere, and a page that could not be decoded still took the configuration along.

Test: StoreRead.APageThatFailsTakesNeitherTheOthersNorWhatIsKnown.

--- a/tests/store_read_test.cpp
+++ b/tests/store_read_test.cpp
@@ -83,6 +83,7 @@
     return RunRead(io_, [this] { return client_.ReadOperatorState(); });
   }
 
+  ManualClock clock_;
   asio::io_context io_;
   standin::Store store_;
   StoreClient client_;
@@ -230,6 +231,41 @@
                  .value.routes.since.has_value());
 }
 
+// The pages after the configuration's fail. Guards against a configuration that
+// waits for the evacuations, and against evacuations that end because they were
+// not read.
+TEST_F(StoreRead, APageThatFailsTakesNeitherTheOthersNorWhatIsKnown)
+{
+  store_.Put("op/config", Configuration(3));
+  store_.Put("op/evacuate/z", "{}");
+  store_.SetPageItems(1);
+  FleetState state(clock_);
+  const auto read = [&] {
+    auto operators = ReadOperators();
+    auto& operatorRead = std::get<StoreClient::OperatorRead>(operators);
+    state.ApplySuccession(std::move(operatorRead.value.routes));
+    state.UpdateEvacuations(std::move(operatorRead.value.evacuations));
+    return operatorRead.findings;
+  };
+  const auto isReported = [](const std::vector<DecodeFinding>& aFindings) {
+    return std::ranges::find(aFindings,
+                             "op/evacuate/",
+                             &DecodeFinding::entry) != aFindings.end();
+  };
+  EXPECT_FALSE(isReported(read()));
+  EXPECT_EQ(state.EvacuatedDomains(), std::vector<std::string>{ "z" });
+  // A restored store is read as a whole again.
+  store_.Copy();
+  store_.Restore();
+  store_.Put("op/config", Configuration(5));
+  store_.Refuse("/v1/kv-range?prefix=op/&after=");
+  EXPECT_TRUE(isReported(read()));
+  EXPECT_EQ(state.Routes().version, 5U);
+  EXPECT_EQ(state.EvacuatedDomains(), std::vector<std::string>{ "z" });
+  store_.Refuse("");
+  EXPECT_FALSE(isReported(read()));
+}
+
 // Guards against a part of the state that is not read because the read of
 // another part fails, again and again, or ends with an exception.
 TEST_F(StoreRead, APartThatFailsDoesNotHoldUpTheOthers)
