Targets: the servers' ports do not set two releases apart

Found on reading the change: the port of the backend server went into the hash of the targets, so that processes of the last release and of this one never agreed on equal sets. Each would have pulled the whole set from the other at each change, none would have confirmed the other's state, and a set from the last release took known ports away.

The hash is that of the last release again. A port that a peer does not send is kept as it was, and while some are missing the next pull asks for the whole set. Test: StateTransfer.PortsDoNotSetReleasesApart, which fails on the commit before: its sets had different hashes there.

--- a/src/relay/fleet_state.cpp
+++ b/src/relay/fleet_state.cpp
@@ -46,7 +46,6 @@
   for (const auto& target : targets) {
     auto hash = Mix(HashText(target.id), target.service.value);
     hash = Mix(hash, HashOf(target.agent));
-    hash = Mix(hash, target.backendPort);
     hash = Mix(hash, HashText(target.failureDomain));
     hash = Mix(hash,
                (std::uint64_t{ target.slots } << 8) |
@@ -149,7 +148,7 @@
     evacuations_.Contains(DomainIdOf(aKnown.target.failureDomain));
 }
 
-auto FleetState::UpdateTargets(const TargetSet& aSet, Millis aReadAge) -> bool
+auto FleetState::UpdateTargets(TargetSet aSet, Millis aReadAge) -> bool
 {
   const auto now = clock_.Now();
   const auto readAt = now - aReadAge;
@@ -157,6 +156,7 @@
   if (IsStale(aSet.revision)) {
     return false;
   }
+  KeepKnownPorts(aSet);
   confirmedAt_ = hasTargets_ ? std::max(confirmedAt_, readAt) : readAt;
   const bool first = !hasTargets_;
   hasTargets_ = true;
@@ -212,13 +212,31 @@
   }
   targets_.revision = aSet.revision;
   if (changed) {
-    targets_.targets = aSet.targets;
     targetsHash_ = aSet.Hash();
+    targets_.targets = std::move(aSet.targets);
     Rebuild();
   }
   return changed;
 }
 
+auto FleetState::KeepKnownPorts(TargetSet& aSet) const -> void
+{
+  std::unordered_map<std::string_view, const RelayTarget*> byId;
+  for (const auto& target : targets_.targets) {
+    byId[target.id] = &target;
+  }
+  for (auto& target : aSet.targets) {
+    const auto found = byId.find(target.id);
+    if (target.backendPort != 0 || found == byId.end()) {
+      continue;
+    }
+    target.backendPort = found->second->backendPort;
+    if (!target.HasSameRegistration(*found->second)) {
+      target.backendPort = 0;
+    }
+  }
+}
+
 auto FleetState::Confirm(const StateDigest& aDigest) -> void
 {
   ObserveEra(aDigest.targets.era);
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -103,7 +103,8 @@
   StoreRevision revision;
   std::vector<RelayTarget> targets;
 
-  // Hash of what HasSameRegistration compares; independent of the order.
+  // Hash of what HasSameRegistration compares, without the ports of the backend
+  // servers, which earlier releases do not know; independent of the order.
   auto Hash() const -> std::uint64_t;
 };
 
@@ -207,7 +208,7 @@
   auto History() const -> const RouteHistory& { return history_; }
   // @param aReadAge time since this set was read from the store.
   // @return true if a target or its standing changed.
-  auto UpdateTargets(const TargetSet& aSet, Millis aReadAge) -> bool;
+  auto UpdateTargets(TargetSet aSet, Millis aReadAge) -> bool;
   // Takes over the revisions and the read time of a peer with the same targets
   // or evacuations.
   auto Confirm(const StateDigest& aDigest) -> void;
@@ -276,6 +277,8 @@
     -> std::unordered_set<ServiceId, KeyHash>;
 
 private:
+  // Sets ports that a peer of an earlier release did not send.
+  auto KeepKnownPorts(TargetSet& aSet) const -> void;
   auto Rebuild() -> void;
   // Adds a registration to the lists unless one of the same port counts, or one
   // of another port that is more open.
--- a/src/relay/state_transfer.cpp
+++ b/src/relay/state_transfer.cpp
@@ -18,6 +18,19 @@
            : aSet;
 }
 
+auto CountPorts(const TargetSet& aSet) -> std::size_t
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(aSet.targets, &RelayTarget::backendPort));
+}
+
+// True if some of the ports came from a peer that does not send them.
+auto LacksPorts(const TargetSet& aSet) -> bool
+{
+  const auto known = CountPorts(aSet);
+  return known > 0 && known < aSet.targets.size();
+}
+
 } // namespace
 
 StateTransfer::StateTransfer(FleetState& aState)
@@ -28,7 +41,7 @@
 auto StateTransfer::MakeRequest() const -> StateRequest
 {
   StateRequest request{ state_.Digest(), true, true };
-  if (wantsWhole_) {
+  if (wantsWhole_ || LacksPorts(state_.Targets())) {
     request.have.targets = {};
     request.have.targetsHash = 0;
   }
@@ -105,14 +118,16 @@
   StateDigest of;
   of.routes = aReply.routes.empty() ? 0 : aReply.digest.routes;
   of.targetsHash = aReply.targets.empty() ? 0 : aReply.digest.targetsHash;
-  const auto isSame = [&of](const PackedState& aPacked) {
+  const auto ports =
+    aReply.targets.empty() ? 0 : CountPorts(aReply.targets.front());
+  const auto isSame = [&](const PackedState& aPacked) {
     return aPacked.of.routes == of.routes &&
-           aPacked.of.targetsHash == of.targetsHash;
+           aPacked.of.targetsHash == of.targetsHash && aPacked.ports == ports;
   };
   auto found = std::ranges::find_if(packed_, isSame);
   if (found == packed_.end()) {
     packed_.insert(packed_.begin(),
-                   { of, PackState(aReply.routes, aReply.targets) });
+                   { of, ports, PackState(aReply.routes, aReply.targets) });
     packed_.resize(std::min(packed_.size(), kMaxPackedStates));
     found = packed_.begin();
   }
--- a/src/relay/state_transfer.h
+++ b/src/relay/state_transfer.h
@@ -45,6 +45,7 @@
   struct PackedState
   {
     StateDigest of; // without the age; routes or targets are 0 if left out
+    std::size_t ports = 0; // known ones of the backend servers
     std::string bytes;
   };
   std::vector<PackedState> packed_; // the latest first
--- a/src/relay/target_log.cpp
+++ b/src/relay/target_log.cpp
@@ -48,7 +48,7 @@
 {
   const auto hash = aSet.Hash();
   if (!steps_.empty() && steps_.back().hash == hash) {
-    current_.revision = aSet.revision;
+    current_ = aSet; // ports may have become known
     return;
   }
   auto ids = ChangedIds(current_, aSet);
--- a/tests/state_transfer_test.cpp
+++ b/tests/state_transfer_test.cpp
@@ -240,4 +240,40 @@
   });
 }
 
+// A fleet of two releases, of which the earlier one does not know the ports of
+// backend servers. Guards against sets that are equal and pass for different
+// ones, so that every process pulls them whole at each change, and against
+// ports that are lost by a pull from the earlier release.
+TEST(StateTransfer, PortsDoNotSetReleasesApart)
+{
+  const ManualClock clock;
+  Process later(clock);
+  Process earlier(clock);
+  auto set = SetOf(5, 20);
+  earlier.Take(set);
+  for (auto& target : set.targets) {
+    target.backendPort = 8165;
+  }
+  later.Take(set);
+  EXPECT_EQ(later.state.Digest().targetsHash,
+            earlier.state.Digest().targetsHash);
+  auto next = SetOf(6, 21);
+  earlier.Take(next);
+  later.transfer.Apply(earlier.ReplyTo(later), Millis{ 1 });
+  const auto& targets = later.state.Targets().targets;
+  ASSERT_EQ(targets.size(), 21U);
+  EXPECT_EQ(std::ranges::count(targets, 8165, &RelayTarget::backendPort), 20);
+  // The rest comes with the next pull from a process that knows it.
+  Process other(clock);
+  next = SetOf(7, 22);
+  for (auto& target : next.targets) {
+    target.backendPort = 8165;
+  }
+  other.Take(next);
+  later.transfer.Apply(other.ReplyTo(later), Millis{ 1 });
+  EXPECT_EQ(std::ranges::count(
+              later.state.Targets().targets, 8165, &RelayTarget::backendPort),
+            22);
+}
+
 } // namespace damaskwalk
