Test of the store's parts: ports that the system chooses

StoreRead.APartThatFailsDoesNotHoldUpTheOthers failed once of several runs: its three fixed ports lie in the range from which the system chooses ports of connections, and one was taken (bind: address already in use).

--- a/tests/store_read_test.cpp
+++ b/tests/store_read_test.cpp
@@ -287,9 +287,9 @@
     RelaySettings settings;
     settings.failureDomain = "z";
     const std::uint32_t ip = 0x7F000001;
-    settings.packets = { ip, 48172 };
-    settings.peers = { ip, 47720 };
-    settings.http = { ip, 48167 };
+    settings.packets = { ip, 0 };
+    settings.peers = { ip, 0 };
+    settings.http = { ip, 0 };
     RelayProcess process(
       { settings, codec, reader, source, settingsSource, clock, log, io });
     asio::steady_timer end(io);
