--- a/tests/relay_model.cpp
+++ b/tests/relay_model.cpp
@@ -110,6 +110,22 @@
   return flows_.size() - 1;
 }
 
+auto RelayModel::OpenAnswered(std::size_t aCount) -> std::vector<std::size_t>
+{
+  std::vector<std::size_t> flows;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    flows.push_back(Open(0, 0));
+  }
+  Run(Millis{ 100 });
+  for (const auto flow : flows) {
+    SendRequest(flow, 0);
+  }
+  Run(Millis{ 300 });
+  std::erase_if(
+    flows, [this](std::size_t aFlow) { return flows_[aFlow].answers == 0; });
+  return flows;
+}
+
 auto RelayModel::SendRequest(std::size_t aFlow, std::size_t aBalancer) -> void
 {
   auto& flow = flows_[aFlow];
--- a/tests/relay_model.h
+++ b/tests/relay_model.h
@@ -85,6 +85,9 @@
   auto SetCaller(std::uint32_t aNumber) -> void { caller_ = aNumber; }
   // Callers. Balancers are given by index.
   auto Open(std::size_t aService, std::size_t aBalancer) -> std::size_t;
+  // Opens flows of service 0 and sends a request on each; those that were
+  // answered.
+  auto OpenAnswered(std::size_t aCount) -> std::vector<std::size_t>;
   auto SendRequest(std::size_t aFlow, std::size_t aBalancer) -> void;
   // Sends one packet of an upload of kModelUploadBytes; aPart counts from 0.
   auto SendUploadPart(std::size_t aFlow,
