--- a/src/relay/fleet_state.cpp
+++ b/src/relay/fleet_state.cpp
@@ -148,7 +148,17 @@
     evacuations_.Contains(DomainIdOf(aKnown.target.failureDomain));
 }
 
-auto FleetState::UpdateTargets(TargetSet aSet, Millis aReadAge) -> bool
+auto FleetState::UpdateTargets(const TargetSet& aSet, Millis aReadAge) -> bool
+{
+  if (std::ranges::all_of(aSet.targets, &RelayTarget::backendPort)) {
+    return ReplaceTargets(aSet, aReadAge);
+  }
+  auto set = aSet;
+  KeepKnownPorts(set);
+  return ReplaceTargets(set, aReadAge);
+}
+
+auto FleetState::ReplaceTargets(const TargetSet& aSet, Millis aReadAge) -> bool
 {
   const auto now = clock_.Now();
   const auto readAt = now - aReadAge;
@@ -156,7 +166,6 @@
   if (IsStale(aSet.revision)) {
     return false;
   }
-  KeepKnownPorts(aSet);
   confirmedAt_ = hasTargets_ ? std::max(confirmedAt_, readAt) : readAt;
   const bool first = !hasTargets_;
   hasTargets_ = true;
@@ -212,8 +221,8 @@
   }
   targets_.revision = aSet.revision;
   if (changed) {
+    targets_.targets = aSet.targets;
     targetsHash_ = aSet.Hash();
-    targets_.targets = std::move(aSet.targets);
     Rebuild();
   }
   return changed;
@@ -452,7 +461,7 @@
   byAgent_.clear();
   byService_.clear();
   for (std::size_t i = 0; i < known_.size(); ++i) {
-    List(i);
+    AddToIndexes(i);
   }
   for (const auto& [agent, targets] : byAgent_) {
     for (const auto index : targets) {
@@ -464,7 +473,7 @@
   }
 }
 
-auto FleetState::List(std::size_t aIndex) -> void
+auto FleetState::AddToIndexes(std::size_t aIndex) -> void
 {
   const auto& known = known_[aIndex];
   const auto& target = known.target;
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -208,7 +208,7 @@
   auto History() const -> const RouteHistory& { return history_; }
   // @param aReadAge time since this set was read from the store.
   // @return true if a target or its standing changed.
-  auto UpdateTargets(TargetSet aSet, Millis aReadAge) -> bool;
+  auto UpdateTargets(const TargetSet& aSet, Millis aReadAge) -> bool;
   // Takes over the revisions and the read time of a peer with the same targets
   // or evacuations.
   auto Confirm(const StateDigest& aDigest) -> void;
@@ -277,12 +277,13 @@
     -> std::unordered_set<ServiceId, KeyHash>;
 
 private:
+  auto ReplaceTargets(const TargetSet& aSet, Millis aReadAge) -> bool;
   // Sets ports that a peer of an earlier release did not send.
   auto KeepKnownPorts(TargetSet& aSet) const -> void;
   auto Rebuild() -> void;
-  // Adds a registration to the lists unless one of the same port counts, or one
-  // of another port that is more open.
-  auto List(std::size_t aIndex) -> void;
+  // Adds a registration to the indexes unless one of the same port counts, or
+  // one of another port that is more open.
+  auto AddToIndexes(std::size_t aIndex) -> void;
   auto MarkEvacuated(KnownTarget& aKnown) const -> void;
   auto OnEvacuationChange(const EvacuationChange& aChange) -> void;
   auto ObserveEra(std::uint32_t aEra) -> void;
--- a/standins/store.h
+++ b/standins/store.h
@@ -51,7 +51,7 @@
   {
     if (state_.items.erase(aKey) > 0) {
       ++state_.revision;
-      state_.history.push_back({ aKey, state_.revision, true });
+      state_.history.push_back({ aKey, state_.revision, true, {} });
     }
   }
 
