--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,6 +16,7 @@
 FLOWS_PER_S = 12
 REQUEST_GAP_S = 1.0
 MAX_FLOW_S = BOUNDS["maxFlowS"]
+CONTACT_S = BOUNDS["contactMs"] / 1000
 DOWN_S = 0.3  # from a node's end to its next start
 
 
@@ -72,13 +73,13 @@
 
 async def run(world):
     begin = world.now()
-    flows = world.spawn(open_flows(world, begin + 26.0))
+    flows = world.spawn(open_flows(world, begin + 30.0))
     await asyncio.sleep(4.0)
     if world.trouble:
         for node in world.sides:
             await restart_beside(world, node)
             await asyncio.sleep(1.2)
-        await asyncio.sleep(max(0.0, begin + 14.0 - world.now()))
+        await asyncio.sleep(CONTACT_S)
         for node in world.edges:
             await node.stop()
             await asyncio.sleep(DOWN_S)
