--- a/review/relay_bed.py
+++ b/review/relay_bed.py
@@ -29,7 +29,9 @@
 SYN_COPIES_S = (0.2, 0.6)
 ATTEMPT_S = 1.4
 RETRANSMISSIONS = 8
-ZONES, REGION = ("sv-a", "sv-b", "sv-c"), "is-sv"
+ZONES, REGION = ("bukit-cina", "ayer-keroh", "klebang"), "melaka"
+SERVICE, SLOTS, QUEUE = "tempahan", 3, 12  # as in the site file
+HANDSHAKE_S = 0.0003
 BOUNDS = {"seedLagS": 3, "reuseAfterS": 2, "contactMs": 4000, "ackMs": 5000, "catchUpS": 4,
           "drainMs": 3000, "graceS": 6, "lossSlackMs": 200, "configApplyMs": 3000,
           "downgradeMs": 250, "maxStretchMs": 12000, "recoveryS": 12, "flowMs": 2000,
@@ -169,12 +171,11 @@
 class Target:
     """A target beside a node. `flows` are open, `half_open` wait for the end of a handshake."""
 
-    def __init__(self, world, ip, service, accept_s=0.001, work_s=0.005):
+    def __init__(self, world, ip, service, work_s=0.022):
         self.world, self.ip, self.service = world, ip, service
-        self.accept_s, self.work_s = accept_s, work_s
+        self.work_s, self.busy, self.line = work_s, 0, []
         self.id = f"i-{service}-{ip.replace('.', '-')}"
         self.half_open, self.flows, self.ended = {}, {}, set()
-        self.on_syn = None  # called with the flow when a SYN arrives that is new here
         self.alive, self.zone = False, ZONES[0]
 
     async def start(self):
@@ -187,7 +188,7 @@
     def register(self):
         self.world.store.put(f"servers/{self.id}", {
             "service": self.service, "address": f"{self.ip}:{self.world.ports['app']}",
-            "zone": self.zone, "version": "v1", "slots": 7, "state": "ready", "coldMs": 0, "seq": 1,
+            "zone": self.zone, "version": "v1", "slots": SLOTS, "state": "ready", "coldMs": 0, "seq": 1,
             "born": self.born})
 
     async def serve_health(self, reader, writer):
@@ -241,13 +242,11 @@
         raw = pack(SYN | ACK, packet.dst, packet.src, seq, packet.seq + 1)
         self.half_open[flow] = {"seq": seq, "raw": raw}
         self.world.record(f"{self.id} took SYN of {name_of(flow)} copy {packet.ack}")
-        if self.on_syn:
-            self.on_syn(flow)
         self.world.spawn(self.offer(flow, raw))
 
     async def offer(self, flow, raw):
         """Sends SYN+ACK, and again while the client has not acknowledged it."""
-        await asyncio.sleep(self.accept_s)
+        await asyncio.sleep(HANDSHAKE_S)
         wait = 0.2
         for _ in range(RETRANSMISSIONS + 1):
             if flow not in self.half_open:
@@ -271,18 +270,39 @@
         elif packet.data and packet.seq == state["next"]:
             state["next"] = packet.seq + len(packet.data) & 0xFFFFFFFF
             state["answers"][packet.seq] = b""
-            request = request_id(packet.data)
-            self.world.on_run(flow, request, self)
-            asyncio.get_running_loop().call_later(self.work_s, self.reply, flow, packet, request)
+            self.take(flow, packet)
 
-    def reply(self, flow, packet, request):
+    def take(self, flow, packet):
+        """Queues a request for a slot, or says that it was not run if the queue is full."""
+        if self.busy >= SLOTS and len(self.line) >= QUEUE:
+            self.reply(flow, packet, 503, b"X-Damaskwalk-Not-Executed: 1\r\n")
+            return
+        self.line.append((flow, packet))
+        self.run_next()
+
+    def run_next(self):
+        while self.busy < SLOTS and self.line:
+            flow, packet = self.line.pop(0)
+            if flow not in self.flows:
+                continue
+            self.busy += 1
+            self.world.on_run(flow, request_id(packet.data), self)
+            asyncio.get_running_loop().call_later(
+                self.work_s * random.uniform(0.5, 1.5), self.finish_run, flow, packet)
+
+    def finish_run(self, flow, packet):
+        self.busy -= 1
+        self.reply(flow, packet, 200, b"X-Damaskwalk-Response-Signature: s\r\n")
+        self.run_next()
+
+    def reply(self, flow, packet, status, header):
         state = self.flows.get(flow)
         if not state or not self.alive:
             return
+        request = request_id(packet.data)
         body = f"{self.id} {request}".encode()
-        data = (b"HTTP/1.1 200 OK\r\nX-Damaskwalk-Request-Id: %s\r\n"
-                b"X-Damaskwalk-Response-Signature: s\r\nContent-Length: %d\r\n\r\n"
-                % (request.encode(), len(body))) + body
+        data = (b"HTTP/1.1 %d x\r\nX-Damaskwalk-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n"
+                % (status, request.encode(), header, len(body))) + body
         raw = pack(ACK, flow[1], flow[0], packet.ack, state["next"], data)
         state["answers"][packet.seq] = raw
         self.send(raw)
@@ -389,7 +409,7 @@
     def __init__(self, world, ip, port, address):
         self.world, self.flow = world, ((ip, port), address)
         self.state, self.seq, self.ack = "new", random.getrandbits(31), 0
-        self.server_seq, self.waiting, self.number = None, None, 0
+        self.waiting, self.number, self.answer = None, 0, ""
         self.opened_at, self.reset_at, self.first_sent_at = None, None, None
 
     def send(self, flags, seq, ack, data=b""):
@@ -419,7 +439,7 @@
         name = f"{self.flow[0][0]}-{self.flow[0][1]}-{self.number}"
         data = (f"GET / HTTP/1.1\r\nHost: x\r\nX-Damaskwalk-Request-Id: {name}\r\n"
                 "Content-Length: 0\r\n\r\n").encode()
-        self.world.sent[name] = self.world.now()
+        self.world.record(f"sent {name} on {name_of(self.flow)}")
         self.waiting, wait = asyncio.Event(), 0.2
         end = self.world.now() + timeout
         while self.state == "open" and self.world.now() < end:
@@ -428,10 +448,12 @@
                 await asyncio.wait_for(self.waiting.wait(), min(wait, end - self.world.now()))
                 self.seq = self.seq + len(data) & 0xFFFFFFFF
                 self.waiting = None
+                self.world.record(f"answered {name}: {self.answer}")
                 return True
             except asyncio.TimeoutError:
                 wait = min(1.6, wait * 2)
         self.waiting = None
+        self.world.record(f"not answered {name}: {self.state}")
         return False
 
     def close(self):
@@ -460,13 +482,14 @@
         elif packet.data and self.waiting and packet.seq == self.ack:
             self.ack = self.ack + len(packet.data) & 0xFFFFFFFF
             self.send(ACK, packet.ack, self.ack)
+            self.answer = packet.data.split(b"\r\n", 1)[0].decode()
             self.waiting.set()
 
 
 class World:
     """A small deployment: edges and targets of one service with their nodes, zone by zone."""
 
-    def __init__(self, edges, targets, service="bokun", clients=4, first_net=90, zones=1):
+    def __init__(self, edges, targets, service=SERVICE, clients=4, first_net=90, zones=1):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.began = time.monotonic()
         self.lines, self.violations, self.tasks = [], [], set()
@@ -491,7 +514,6 @@
         for i, node in enumerate(self.sides):
             node.zone = node.target.zone = self.zones[i % zones]
         self.sockets, self.clients, self.owners = {}, {}, {}
-        self.sent, self.runs = {}, {}
         self.last_reader = None  # of the targets
         self.next_port = 20000
         self.host = ("198.18.0.1", 8443)
@@ -537,9 +559,9 @@
         task.add_done_callback(self.tasks.discard)
         return task
 
-    def route_entry(self, name, host, prefix="/8443/", service="bokun"):
-        return {"name": name, "host": host, "prefix": prefix, "kind": "safe", "timeoutMs": 2500,
-                "sloMs": 250, "priority": 2, "service": service, "attempts": 2}
+    def route_entry(self, name, host, prefix="/8443/", service=SERVICE):
+        return {"name": name, "host": host, "prefix": prefix, "kind": "safe", "timeoutMs": 1200,
+                "sloMs": 120, "priority": 2, "service": service, "attempts": 2}
 
     def publish(self, routes):
         """Writes a configuration; the store's answer acknowledges it."""
@@ -596,7 +618,7 @@
         """A packet of an open flow reached its target."""
 
     def on_run(self, flow, request, target):
-        self.runs.setdefault(request, []).append((self.now(), target))
+        self.record(f"ran {request} at {target.id}")
 
     def on_system_reset(self, client, sender):
         self.record(f"{name_of(client.flow)} was reset by {self.name_at(sender)} "
