--- a/review/relay_bed.py
+++ b/review/relay_bed.py
@@ -344,7 +344,7 @@
             "limits": {"cpuShare": 0.15, "cores": 1, "memoryMb": 128, "maxFds": 4096,
                        "linkMbps": 1000.0, "diskMb": 0},
             "heartbeatMs": 770, "contracts": ["base", "drain", "config", "flows", "platform"],
-            "faultTolerance": {"machines": 1, "zones": 0, "regions": 0}, "bounds": BOUNDS,
+            "faultTolerance": {"machines": 1, "zones": 0, "regions": 0}, "bounds": self.world.bounds,
             "hashScheme": "mod", "proxyMode": "agent",
             "platform": {"address": "%s:%d" % self.world.store_address(self), "proxyMode": "read",
                          "writesPerS": 400, "readsPerS": 2000, "historyS": 20,
@@ -489,7 +489,9 @@
 class World:
     """A small deployment: edges and targets of one service with their nodes, zone by zone."""
 
-    def __init__(self, edges, targets, service=SERVICE, clients=4, first_net=90, zones=1):
+    def __init__(self, edges, targets, service=SERVICE, clients=4, first_net=90, zones=1,
+                 bounds=None):
+        self.bounds = {**BOUNDS, **(bounds or {})}
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.began = time.monotonic()
         self.lines, self.violations, self.tasks = [], [], set()
