--- a/review/bed3.py
+++ b/review/bed3.py
@@ -397,17 +397,21 @@
             client.receive(packet)
 
     def write_config(self, version, routes, idle_ms=15000):
-        """`routes`: {port: service}. The acknowledgement comes when this returns."""
+        """`routes`: {port: service, or {service: weight}}. Acknowledged when this returns."""
+        names = {name for to in routes.values() for name in ([to] if isinstance(to, str) else to)}
         self.store.put("op/config", {
             "version": version,
             "routes": [{"name": f"r-{port}", "host": self.ip("200.1"), "prefix": f"/{port}/",
                         "kind": "unsafe", "timeoutMs": 1500, "sloMs": 150, "priority": 1,
-                        "service": service, "attempts": 2} for port, service in routes.items()],
+                        "attempts": 2} | ({"service": to} if isinstance(to, str) else {
+                            "backends": [{"service": name, "weight": weight}
+                                         for name, weight in to.items()]})
+                       for port, to in routes.items()],
             "services": [{"name": name, "healthPath": "/health", "maxConns": 2000,
-                          "protocol": "h1", "tls": False} for name in set(routes.values())],
+                          "protocol": "h1", "tls": False} for name in sorted(names)],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
                        "idleTimeoutMs": idle_ms}})
-        self.note("operator", acknowledged_version=version, routes=sorted(routes))
+        self.note("operator", acknowledged_version=version, routes=routes)
 
     def settings(self, name, ip, zone, service, bootstrap):
         side = service is not None
@@ -510,6 +514,7 @@
         print("target/damaskwalk-relay is not built")
         sys.exit(2)
     bed, code = Bed(folder, network), 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
     async def run():
         try:
