--- a/review/bed3.py
+++ b/review/bed3.py
@@ -85,6 +85,7 @@
     def __init__(self, bed):
         self.bed, self.revision, self.items, self.events = bed, 1, {}, []
         self.renewed, self.calls, self.ports = {}, [], {}
+        self.turned_away = set()  # nodes whose calls get 503
 
     def put(self, key, value):
         self.put_bytes(key, json.dumps(value).encode())
@@ -144,7 +145,7 @@
                 target = head.split(b" ")[1].decode()
                 self.calls.append((self.bed.now(), node, target))
                 await asyncio.sleep(0.004)
-                status, body = self.answer(target)
+                status, body = (503, {}) if node in self.turned_away else self.answer(target)
                 text = json.dumps(body).encode()
                 writer.write(b"HTTP/1.1 %d x\r\nContent-Type: application/json\r\nStore-Era: 1\r\n"
                              b"Content-Length: %d\r\n\r\n" % (status, len(text)) + text)
