Registered addresses: only agents get packets

Entries at addresses that nobody has took the three first packets of a caller, and kept each search for a lost flow from its verdict, so that callers waited for their deadline.

Cause: whoever a registration names was taken for an agent. A balancer was preferred, as it is heard but never reports a load; a balancer that got a packet of another one started it anew, without a count of hops, and so did its table. An address that was never heard counted as silent only after three heartbeats, for a minute, and then anew.

Fix: PeerTable tells whether an address has an agent. It has none if it is this balancer's, if a balancer was heard there since the registration or within three heartbeats, or if it was not heard for 5 s. Placement, directory, searches, verdicts, records and the balancer's table ask it. The load of a process is forgotten when a balancer has its address. Balancers at registered addresses are asked for a heartbeat. A balancer passes on first packets of relays with their count of hops, not to the agent of its table, and drops others. A new agent still gets flows before it is heard, at most four until it reports; a retransmission prefers agents that were heard. Near agents whose first heartbeat is late are the last choice of the directory, and searches skip them without a verdict. An agent's domain for flow queries is that of its settings, not of an entry.

--- a/src/relay/agent_relay.cpp
+++ b/src/relay/agent_relay.cpp
@@ -26,9 +26,10 @@
   , trackedIdleTimeout_(kDefaultIdleTimeout)
   , mover_(aInit.self, aState, aPeers, aClock)
   , postponed_(aClock)
-  , queries_(aInit.self, aState, aPeers, aClock)
+  , queries_(aInit.self, aInit.failureDomain, aState, aPeers, aClock)
   , held_(aClock)
 {
+  peers_.SetSelf(aInit.self.ip, RelayRole::Agent);
 }
 
 auto AgentRelay::Registration() const -> OwnRegistration
--- a/src/relay/agent_relay.h
+++ b/src/relay/agent_relay.h
@@ -29,6 +29,7 @@
   Endpoint self; // receives callers' packets from other relays
   ServiceId service;
   std::uint16_t backendPort = 0; // of the backend server; 0: not known
+  std::string failureDomain;     // empty: that of the registration
 };
 
 struct AgentCounters
--- a/src/relay/agent_relay_search.cpp
+++ b/src/relay/agent_relay_search.cpp
@@ -244,6 +244,10 @@
   if (record == records_.end() || record->second.agent == init_.self) {
     return false;
   }
+  if (!order_.IsAgent(record->second.agent)) {
+    records_.erase(record);
+    return false;
+  }
   ++counters_.followed;
   ++aPacket.tag.hops;
   aPacket.tag.followedRecord = true;
--- a/src/relay/balancer_relay.cpp
+++ b/src/relay/balancer_relay.cpp
@@ -10,7 +10,8 @@
                              FirstPacketPlacement& aPlacement,
                              const Clock& aClock,
                              EventSink& aLog)
-  : tag_(BalancerTag(aIp))
+  : ip_(aIp)
+  , tag_(BalancerTag(aIp))
   , state_(aState)
   , peers_(aPeers)
   , placement_(aPlacement)
@@ -18,6 +19,7 @@
   , clock_(aClock)
   , log_(aLog)
 {
+  peers_.SetSelf(aIp, RelayRole::Balancer);
 }
 
 auto BalancerRelay::OnCallerPacket(Packet aPacket, RelayPort& aPort) -> void
@@ -31,6 +33,10 @@
     }
     return;
   }
+  if (aPacket.tag != RelayTag{}) {
+    OnStrayPacket(*route, aPacket, aPort);
+    return;
+  }
   aPacket.tag = { tag_, 0, false };
   if (aPacket.opens) {
     PlaceFlow(*route, aPacket, aPort);
@@ -39,25 +45,63 @@
   }
 }
 
+auto BalancerRelay::OnStrayPacket(const RelayRoute& aRoute,
+                                  Packet& aPacket,
+                                  RelayPort& aPort) -> void
+{
+  ++counters_.strayed;
+  if (!aPacket.opens) {
+    return;
+  }
+  if (aPacket.tag.hops >= kMaxFirstPacketHops) {
+    Refuse(aPacket, "too_many_hops", aPort);
+    return;
+  }
+  ++aPacket.tag.hops;
+  aPacket.tag.wantsHint = true;
+  // The table's agent may have sent the packet here.
+  const auto* known = FindFlow(aPacket.flow);
+  PlaceAtOther(aRoute, aPacket, known ? known->agent : Endpoint{}, aPort);
+}
+
+auto BalancerRelay::FindFlow(const FlowKey& aFlow) -> Entry*
+{
+  const auto found = flows_.find(aFlow);
+  if (found == flows_.end()) {
+    return nullptr;
+  }
+  if (!order_.IsAgent(found->second.agent)) {
+    flows_.erase(found);
+    return nullptr;
+  }
+  return &found->second;
+}
+
 auto BalancerRelay::PlaceFlow(const RelayRoute& aRoute,
                               Packet& aPacket,
                               RelayPort& aPort) -> void
 {
-  const auto found = flows_.find(aPacket.flow);
   Endpoint excluded;
-  if (found != flows_.end()) {
-    const auto known = found->second.agent;
-    if (!peers_.IsSilent(known.ip)) {
-      found->second.lastPacket = clock_.Now();
+  if (auto* known = FindFlow(aPacket.flow)) {
+    if (!peers_.IsSilent(known->agent.ip)) {
+      known->lastPacket = clock_.Now();
       ++counters_.direct;
-      aPort.SendToAgent(known, aPacket);
+      aPort.SendToAgent(known->agent, aPacket);
       return;
     }
-    excluded = known;
+    excluded = known->agent;
     ++counters_.placedAgain;
   }
+  PlaceAtOther(aRoute, aPacket, excluded, aPort);
+}
+
+auto BalancerRelay::PlaceAtOther(const RelayRoute& aRoute,
+                                 Packet& aPacket,
+                                 const Endpoint& aExcluded,
+                                 RelayPort& aPort) -> void
+{
   const auto service = aRoute.ServiceOf(aPacket.flow);
-  const auto choice = placement_.Choose(service, aPacket.flow, excluded);
+  const auto choice = placement_.Choose(service, aPacket.flow, aExcluded);
   if (!choice.agent.IsValid()) {
     Refuse(aPacket, choice.cause, aPort);
     return;
@@ -72,7 +116,7 @@
                .With("agent", ToText(choice.agent))
                .With("cause", choice.cause)
                .With("expected_us", choice.expected.count())
-               .With("copy", excluded.IsValid())
+               .With("copy", aExcluded.IsValid())
                .With("routes", state_.Routes().version)
                .With("targets", state_.Targets().revision.number)
                .With("age_ms", state_.Digest().age.count())
@@ -84,23 +128,26 @@
                                        Packet& aPacket,
                                        RelayPort& aPort) -> void
 {
-  const auto found = flows_.find(aPacket.flow);
-  if (found != flows_.end()) {
+  if (auto* known = FindFlow(aPacket.flow)) {
     ++counters_.direct;
-    found->second.lastPacket = clock_.Now();
-    found->second.finished |= aPacket.finishes || aPacket.resets;
-    found->second.inUse = true;
-    aPort.SendToAgent(found->second.agent, aPacket);
+    known->lastPacket = clock_.Now();
+    known->finished |= aPacket.finishes || aPacket.resets;
+    known->inUse = true;
+    aPort.SendToAgent(known->agent, aPacket);
     return;
   }
-  const auto agents = order_.DirectoryAgents(aRoute, aPacket.flow);
+  const auto first = order_.First(aRoute, aPacket.flow);
+  auto agents = order_.DirectoryAgents(aRoute, aPacket.flow);
+  if (agents.empty() && first.agent) {
+    // No target is registered, but agents of former ones may have the flow.
+    agents.push_back(*first.agent);
+  }
   if (agents.empty()) {
     ++counters_.noAgent;
     return;
   }
   ++counters_.searched;
   // The search starts at the agent that keeps the flow's record.
-  const auto first = order_.First(aRoute, aPacket.flow);
   aPacket.tag.wantsHint = true;
   aPacket.tag.searching = first.agent == agents.front();
   aPacket.tag.complete = aPacket.tag.searching && !first.skippedSilent;
@@ -136,6 +183,9 @@
 
 auto BalancerRelay::OnFlowLocation(const FlowLocation& aLocation) -> void
 {
+  if (aLocation.agent.ip == ip_) {
+    return;
+  }
   ++counters_.located;
   const auto found = flows_.find(aLocation.flow);
   if (!aLocation.confirmed && found != flows_.end() && found->second.inUse) {
--- a/src/relay/balancer_relay.h
+++ b/src/relay/balancer_relay.h
@@ -24,6 +24,8 @@
   std::uint64_t resets = 0;
   std::uint64_t noRoute = 0;
   std::uint64_t noAgent = 0;
+  std::uint64_t strayed =
+    0; // packets of relays that took this one for an agent
 };
 
 // Single threaded; no sockets, all time from the clock.
@@ -37,6 +39,8 @@
                 const Clock& aClock,
                 EventSink& aLog);
 
+  // @param aPacket from a caller, or from a relay that took this process for an
+  // agent; the latter has a tag.
   auto OnCallerPacket(Packet aPacket, RelayPort& aPort) -> void;
   auto OnFlowLocation(const FlowLocation& aLocation) -> void;
   // Drops entries of finished and idle flows.
@@ -55,8 +59,22 @@
     bool inUse = false;
   };
 
+  // Passes on first packets only, and each a limited number of times: a caller
+  // retransmits the others, and by then the relay knows this process.
+  auto OnStrayPacket(const RelayRoute& aRoute,
+                     Packet& aPacket,
+                     RelayPort& aPort) -> void;
   auto PlaceFlow(const RelayRoute& aRoute, Packet& aPacket, RelayPort& aPort)
     -> void;
+  // Chooses the agent of a first packet and sends it there.
+  // @param aExcluded an agent that must not be chosen; invalid: none.
+  auto PlaceAtOther(const RelayRoute& aRoute,
+                    Packet& aPacket,
+                    const Endpoint& aExcluded,
+                    RelayPort& aPort) -> void;
+  // The table's agent of the flow; null if there is none, or no agent runs at
+  // its address.
+  auto FindFlow(const FlowKey& aFlow) -> Entry*;
   auto ForwardLaterPacket(const RelayRoute& aRoute,
                           Packet& aPacket,
                           RelayPort& aPort) -> void;
@@ -64,6 +82,7 @@
     -> void;
   auto StoreAgent(const FlowKey& aFlow, const Endpoint& aAgent) -> void;
 
+  std::uint32_t ip_;
   std::uint16_t tag_;
   const FleetState& state_;
   PeerTable& peers_;
--- a/src/relay/flow_queries.cpp
+++ b/src/relay/flow_queries.cpp
@@ -10,6 +10,13 @@
 
 namespace {
 
+// True if no agent runs at the target's address: an entry of another program.
+auto HasNoAgent(const KnownTarget& aKnown, const PeerTable& aPeers) -> bool
+{
+  const auto ip = aKnown.target.agent.ip;
+  return aPeers.RunsNoAgent(ip, aKnown.since) || aPeers.IsVacant(ip);
+}
+
 // True if a flow cannot be called lost without the target's answer.
 // @param aRounds times that the missing agents were asked.
 auto MustAnswer(const KnownTarget& aKnown,
@@ -17,8 +24,8 @@
                 std::uint32_t aRounds) -> bool
 {
   const auto ip = aKnown.target.agent.ip;
-  if (aPeers.RunsNoAgent(ip, aKnown.since)) {
-    return false; // an entry of another program
+  if (HasNoAgent(aKnown, aPeers)) {
+    return false;
   }
   if (aKnown.standing == TargetStanding::Gone) {
     return aRounds <= kMaxRoundsForGone && !aPeers.IsFar(ip) &&
@@ -30,10 +37,12 @@
 } // namespace
 
 FlowQueries::FlowQueries(const Endpoint& aSelf,
+                         std::string aDomain,
                          const FleetState& aState,
                          const PeerTable& aPeers,
                          const Clock& aClock)
   : self_(aSelf)
+  , domain_(std::move(aDomain))
   , state_(aState)
   , peers_(aPeers)
   , clock_(aClock)
@@ -55,6 +64,9 @@
 
 auto FlowQueries::OwnDomain() const -> std::string
 {
+  if (!domain_.empty()) {
+    return domain_;
+  }
   const auto* own = state_.FindAgent(self_);
   return own ? own->target.failureDomain : std::string();
 }
@@ -134,12 +146,13 @@
                               const RelayRoute& aRoute,
                               RelayPort& aPort) -> void
 {
-  if (domain_.contains(aPacket.flow) || domain_.size() >= kMaxFlowQueries) {
+  if (onBehalf_.contains(aPacket.flow) || onBehalf_.size() >= kMaxFlowQueries) {
     return;
   }
   const auto entry =
-    domain_.emplace(aPacket.flow, MakeQuery(aPacket, aAsker)).first;
+    onBehalf_.emplace(aPacket.flow, MakeQuery(aPacket, aAsker)).first;
   const auto domain = OwnDomain();
+  InsertAbsent(entry->second, aRoute, domain);
   for (const auto* known : Missing(entry->second, aRoute)) {
     const auto ip = known->target.agent.ip;
     if (known->target.failureDomain == domain && ip != self_.ip) {
@@ -148,6 +161,20 @@
   }
 }
 
+auto FlowQueries::InsertAbsent(Query& aQuery,
+                               const RelayRoute& aRoute,
+                               const std::string& aDomain) const -> void
+{
+  for (const auto service : state_.ServicesToSearch(aRoute)) {
+    for (const auto index : state_.TargetsOfService(service)) {
+      const auto& known = state_.KnownTargets()[index];
+      if (known.target.failureDomain == aDomain && HasNoAgent(known, peers_)) {
+        aQuery.certain.insert(known.target.agent.ip);
+      }
+    }
+  }
+}
+
 auto FlowQueries::AskAgent(std::uint32_t aIp,
                            bool aWholeDomain,
                            const Query& aQuery,
@@ -229,8 +256,8 @@
       Conclude(own);
     }
   }
-  const auto asked = domain_.find(aAnswer.flow);
-  if (asked == domain_.end()) {
+  const auto asked = onBehalf_.find(aAnswer.flow);
+  if (asked == onBehalf_.end()) {
     return;
   }
   auto& query = asked->second;
@@ -244,7 +271,7 @@
     });
   if (aAnswer.holder.IsValid() || complete) {
     AnswerForDomain(aAnswer.flow, query, aAnswer.holder, aPort);
-    domain_.erase(asked);
+    onBehalf_.erase(asked);
   }
 }
 
@@ -294,13 +321,13 @@
 auto FlowQueries::Tick(RelayPort& aPort) -> void
 {
   const auto now = clock_.Now();
-  for (auto entry = domain_.begin(); entry != domain_.end();) {
+  for (auto entry = onBehalf_.begin(); entry != onBehalf_.end();) {
     if (now - entry->second.began < kDomainAnswerTimeout) {
       ++entry;
       continue;
     }
     AnswerForDomain(entry->first, entry->second, {}, aPort);
-    entry = domain_.erase(entry);
+    entry = onBehalf_.erase(entry);
   }
   for (auto entry = own_.begin(); entry != own_.end();) {
     auto& query = entry->second;
--- a/src/relay/flow_queries.h
+++ b/src/relay/flow_queries.h
@@ -25,7 +25,9 @@
 class FlowQueries
 {
 public:
+  // @param aDomain of this agent; empty: that of its registration.
   FlowQueries(const Endpoint& aSelf,
+              std::string aDomain,
               const FleetState& aState,
               const PeerTable& aPeers,
               const Clock& aClock);
@@ -67,7 +69,7 @@
   // of milliseconds.
   auto Tick(RelayPort& aPort) -> void;
 
-  auto Size() const -> std::size_t { return own_.size() + domain_.size(); }
+  auto Size() const -> std::size_t { return own_.size() + onBehalf_.size(); }
 
 private:
   struct Query
@@ -96,6 +98,11 @@
   // is no longer missing.
   auto IsAnyMissing(Query& aQuery, const RelayRoute& aRoute) const -> bool;
   auto Ask(Query& aQuery, const RelayRoute& aRoute, RelayPort& aPort) -> void;
+  // Answers for the addresses of the domain at which no agent runs. Only the
+  // processes of the domain can know of them.
+  auto InsertAbsent(Query& aQuery,
+                    const RelayRoute& aRoute,
+                    const std::string& aDomain) const -> void;
   auto AskAgent(std::uint32_t aIp,
                 bool aWholeDomain,
                 const Query& aQuery,
@@ -110,12 +117,13 @@
   auto OwnDomain() const -> std::string;
 
   Endpoint self_;
+  std::string domain_;
   const FleetState& state_;
   const PeerTable& peers_;
   const Clock& clock_;
   std::mt19937_64 random_;
   Table own_;
-  Table domain_; // asked for other domains' agents
+  Table onBehalf_; // asked for other domains' agents
   std::vector<Lost> lost_;
   std::vector<Undecided> undecided_;
 };
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -46,6 +46,11 @@
 // long it believes the answer.
 constexpr std::size_t kFarProbesPerPeriod = 4;
 constexpr Millis kFarLoadLifetime{ 1500 };
+// Until a process has heard more agents than a full mesh has, it asks this many
+// far ones in a heartbeat period that it never heard. One that leaves several
+// probes unanswered does not count as an agent.
+constexpr std::size_t kUnheardProbesPerPeriod = 64;
+constexpr std::uint32_t kMaxUnansweredProbes = 3;
 // Agents of each other failure domain that are told of a read of the store.
 constexpr std::size_t kFarAnnouncements = 3;
 // Most targets that a stopping agent tells so itself.
@@ -58,6 +63,14 @@
 constexpr Millis kFarPullDelay{ 200 };
 // A peer is silent after three missed heartbeats.
 constexpr std::uint32_t kMaxMissedHeartbeats = 3;
+// An agent replies at once to the first heartbeat of a near process.
+constexpr Millis kHeartbeatReplyTimeout{ 250 };
+// An address that was not heard for this long since heartbeats were expected
+// from it has no agent. Longer than the restart of an agent takes.
+constexpr Millis kVacantAddressTime{ 5000 };
+// Most first packets that a balancer sends to an agent that has reported no
+// load, while others accept them.
+constexpr std::uint32_t kMaxUnheardPlacements = 4;
 // Shortest time between load reports to one balancer; an agent sends them in
 // response to first packets.
 constexpr Millis kMinLoadReportPeriod{ 30 };
--- a/src/relay/peer_exchange.cpp
+++ b/src/relay/peer_exchange.cpp
@@ -103,6 +103,7 @@
 {
   const bool isNews = peers_.Reports().OnReport(aReport);
   for (const auto ip : aReport.balancers) {
+    peers_.OnBalancerReported(ip);
     host_.OnBalancer(ip);
   }
   // The receiver of a report passes it on; the near peers do not again.
@@ -158,7 +159,11 @@
              kHeartbeatPeriodPerTarget * static_cast<std::int64_t>(heard)));
   auto peers = NearPeers();
   peers.insert(plan_.Unused().begin(), plan_.Unused().end());
-  SendToAll(peers, PeerMessage{ host_.MakeHeartbeat() }, aPort);
+  auto heartbeat = host_.MakeHeartbeat();
+  SendToAll(peers, PeerMessage{ heartbeat }, aPort);
+  // Balancers at registered addresses hear nothing else that they answer.
+  heartbeat.wantsReply = true;
+  SendToAll(RegisteredBalancers(), PeerMessage{ heartbeat }, aPort);
   for (const auto ip : plan_.Near()) {
     peers_.ExpectHeartbeats(ip);
   }
@@ -280,6 +285,19 @@
   return peers;
 }
 
+auto PeerExchange::RegisteredBalancers() const
+  -> std::unordered_set<std::uint32_t>
+{
+  std::unordered_set<std::uint32_t> balancers;
+  for (const auto ip : plan_.Near()) {
+    const auto* peer = peers_.Find(ip);
+    if (peer && peer->role == RelayRole::Balancer) {
+      balancers.insert(ip);
+    }
+  }
+  return balancers;
+}
+
 auto PeerExchange::KnownPeers() const -> std::unordered_set<std::uint32_t>
 {
   std::unordered_set<std::uint32_t> peers;
--- a/src/relay/peer_exchange.h
+++ b/src/relay/peer_exchange.h
@@ -79,6 +79,9 @@
   // this process.
   auto IsNear(std::uint32_t aIp) const -> bool;
   auto NearPeers() const -> std::unordered_set<std::uint32_t>;
+  // Balancers at the addresses of near agents, which registrations of other
+  // programs name.
+  auto RegisteredBalancers() const -> std::unordered_set<std::uint32_t>;
   // Every peer that this process can name.
   auto KnownPeers() const -> std::unordered_set<std::uint32_t>;
 
--- a/src/relay/peer_table.cpp
+++ b/src/relay/peer_table.cpp
@@ -14,6 +14,13 @@
          aNow - aPeer.unansweredSince > kLoadReportTimeout;
 }
 
+// Agents send their load with each heartbeat.
+auto ForgetLoad(PeerRecord& aPeer) -> void
+{
+  aPeer.hasLoad = false;
+  aPeer.load = {};
+}
+
 } // namespace
 
 PeerTable::PeerTable(const Clock& aClock)
@@ -23,6 +30,12 @@
 {
 }
 
+auto PeerTable::SetSelf(std::uint32_t aIp, RelayRole aRole) -> void
+{
+  self_ = aIp;
+  selfRole_ = aRole;
+}
+
 auto PeerTable::OnHeartbeat(std::uint32_t aIp, const RelayHeartbeat& aHeartbeat)
   -> bool
 {
@@ -34,7 +47,8 @@
     return false;
   }
   expected_.erase(aIp);
-  placedAtUnknown_.erase(aIp);
+  probes_.erase(aIp);
+  placedAtUnheard_.erase(aIp);
   const bool restarted = !isNew && peer.incarnation != aHeartbeat.incarnation;
   // An older datagram of a stopped process may arrive after its last one.
   peer.stopped = aHeartbeat.stopping || (peer.stopped && !restarted);
@@ -45,6 +59,10 @@
   peer.incarnation = aHeartbeat.incarnation;
   peer.digest = aHeartbeat.digest;
   peer.lastHeartbeatAt = now;
+  peer.heardAt = now;
+  if (peer.role != RelayRole::Agent) {
+    ForgetLoad(peer);
+  }
   if (!aHeartbeat.wantsReply) {
     peer.lastPeriodicAt = now;
   }
@@ -73,7 +91,11 @@
     found->second.lastHeartbeatAt = clock_.Now();
   }
   if (found == peers_.end()) {
-    ++placedAtUnknown_[aIp];
+    auto& placed = placedAtUnheard_[aIp];
+    if (placed.count == 0) {
+      placed.since = clock_.Now();
+    }
+    ++placed.count;
     return;
   }
   auto& peer = found->second;
@@ -88,8 +110,8 @@
   if (const auto* peer = Find(aIp)) {
     return peer->placedSinceReport;
   }
-  const auto found = placedAtUnknown_.find(aIp);
-  return found == placedAtUnknown_.end() ? 0 : found->second;
+  const auto found = placedAtUnheard_.find(aIp);
+  return found == placedAtUnheard_.end() ? 0 : found->second.count;
 }
 
 auto PeerTable::Find(std::uint32_t aIp) const -> const PeerRecord*
@@ -106,15 +128,42 @@
   const auto now = clock_.Now();
   const auto* peer = Find(aIp);
   if (!peer) {
-    const auto expected = expected_.find(aIp);
-    return IsWatched(aIp) && expected != expected_.end() &&
-           now - expected->second > kMaxMissedHeartbeats * period_;
+    return IsUnheardSilent(aIp);
   }
   const bool missed = IsWatched(aIp) && now - peer->lastHeartbeatAt >
                                           kMaxMissedHeartbeats * period_;
   return peer->stopped || missed || LeavesFlowsUnanswered(*peer, now);
 }
 
+auto PeerTable::IsUnheardSilent(std::uint32_t aIp) const -> bool
+{
+  const auto now = clock_.Now();
+  const auto placed = placedAtUnheard_.find(aIp);
+  if (placed != placedAtUnheard_.end() &&
+      now - placed->second.since > kLoadReportTimeout) {
+    return true;
+  }
+  return IsOverdue(aIp, kMaxMissedHeartbeats * period_);
+}
+
+auto PeerTable::IsOverdue(std::uint32_t aIp, Millis aTime) const -> bool
+{
+  const auto expected = expected_.find(aIp);
+  return expected != expected_.end() && IsWatched(aIp) && !IsFar(aIp) &&
+         clock_.Now() - expected->second > aTime;
+}
+
+auto PeerTable::IsAwaited(std::uint32_t aIp) const -> bool
+{
+  return aIp != self_ && expected_.contains(aIp) && IsWatched(aIp) &&
+         !IsFar(aIp);
+}
+
+auto PeerTable::IsUnanswering(std::uint32_t aIp) const -> bool
+{
+  return aIp != self_ && IsOverdue(aIp, kHeartbeatReplyTimeout);
+}
+
 auto PeerTable::IsWatched(std::uint32_t aIp) const -> bool
 {
   return !watched_ || watched_->contains(aIp);
@@ -124,11 +173,16 @@
 {
   std::unordered_set<std::uint32_t> watched(aAgents.begin(), aAgents.end());
   for (const auto ip : watched) {
+    if (IsWatched(ip)) {
+      continue;
+    }
+    // Its periodic heartbeats begin now.
     const auto found = peers_.find(ip);
-    if (found != peers_.end() && !IsWatched(ip)) {
-      // Its periodic heartbeats begin now.
+    if (found != peers_.end()) {
       found->second.lastHeartbeatAt = clock_.Now();
     }
+    expected_.erase(ip);
+    placedAtUnheard_.erase(ip);
   }
   watched_ = std::move(watched);
 }
@@ -188,23 +242,89 @@
          aRegistered <= peer->loadAt && IsWatched(aIp) && !IsFar(aIp);
 }
 
+auto PeerTable::HasHeard(std::uint32_t aIp) const -> bool
+{
+  if (aIp == self_) {
+    return selfRole_ == RelayRole::Agent;
+  }
+  const auto* peer = Find(aIp);
+  return peer && peer->incarnation != 0;
+}
+
 auto PeerTable::RunsNoAgent(std::uint32_t aIp, TimePoint aRegistered) const
   -> bool
 {
+  if (aIp == self_) {
+    return selfRole_ != RelayRole::Agent;
+  }
+  const auto now = clock_.Now();
   const auto* peer = Find(aIp);
-  return peer && peer->role != RelayRole::Agent &&
-         peer->lastHeartbeatAt > aRegistered;
+  const auto reported = reportedBalancers_.find(aIp);
+  if (reported != reportedBalancers_.end() &&
+      (!peer || peer->heardAt < reported->second) &&
+      (reported->second > aRegistered ||
+       now - reported->second <= kDomainReportLifetime)) {
+    return true;
+  }
+  if (!peer || peer->role == RelayRole::Agent) {
+    return false;
+  }
+  const bool isCurrent =
+    !peer->stopped && now - peer->heardAt <= kMaxMissedHeartbeats * period_;
+  return isCurrent || peer->heardAt > aRegistered;
+}
+
+auto PeerTable::OnBalancerReported(std::uint32_t aIp) -> void
+{
+  reportedBalancers_[aIp] = clock_.Now();
+}
+
+auto PeerTable::OnProbed(std::uint32_t aIp) -> void
+{
+  ++probes_[aIp];
+}
+
+auto PeerTable::CountsAsAgent(std::uint32_t aIp, TimePoint aRegistered) const
+  -> bool
+{
+  const auto probed = probes_.find(aIp);
+  const bool isUnanswered =
+    probed != probes_.end() && probed->second >= kMaxUnansweredProbes;
+  return !isUnanswered && !IsVacant(aIp) && !RunsNoAgent(aIp, aRegistered);
+}
+
+auto PeerTable::IsVacant(std::uint32_t aIp) const -> bool
+{
+  return aIp != self_ && IsOverdue(aIp, kVacantAddressTime);
 }
 
 auto PeerTable::Tick() -> void
 {
   const auto now = clock_.Now();
-  std::erase_if(peers_, [now](const auto& aEntry) {
-    return now - aEntry.second.lastHeartbeatAt > kSilentPeerRetention;
+  const auto isExpected = [this](std::uint32_t aIp) {
+    return watched_ && watched_->contains(aIp);
+  };
+  std::erase_if(peers_, [&](const auto& aEntry) {
+    const auto& [ip, peer] = aEntry;
+    if (now - peer.lastHeartbeatAt <= kSilentPeerRetention) {
+      return false;
+    }
+    if (isExpected(ip)) {
+      // It stays silent until it is heard.
+      expected_.try_emplace(ip, peer.lastHeartbeatAt);
+    }
+    return true;
+  });
+  std::erase_if(expected_, [&](const auto& aEntry) {
+    return !isExpected(aEntry.first) &&
+           now - aEntry.second > kSilentPeerRetention;
   });
-  std::erase_if(expected_, [now](const auto& aEntry) {
+  std::erase_if(reportedBalancers_, [now](const auto& aEntry) {
     return now - aEntry.second > kSilentPeerRetention;
   });
+  std::erase_if(placedAtUnheard_, [now](const auto& aEntry) {
+    return now - aEntry.second.since > kSilentPeerRetention;
+  });
 }
 
 auto PeerTable::MeanServiceTime(ServiceId aService) const
--- a/src/relay/peer_table.h
+++ b/src/relay/peer_table.h
@@ -21,8 +21,9 @@
   std::uint64_t formerIncarnation = 0; // of the process before; 0: none known
   bool stopped = false; // announced by the peer, and no new process heard since
   StateDigest digest;
-  TimePoint lastHeartbeatAt;
-  TimePoint lastPeriodicAt; // last heartbeat that asked for no reply
+  TimePoint lastHeartbeatAt; // or since when heartbeats are expected again
+  TimePoint heardAt;         // last heartbeat
+  TimePoint lastPeriodicAt;  // last heartbeat that asked for no reply
   bool hasLoad = false;
   BackendLoad load;
   TimePoint loadAt;
@@ -38,6 +39,8 @@
 public:
   explicit PeerTable(const Clock& aClock);
 
+  // Sets the address and the role of this process.
+  auto SetSelf(std::uint32_t aIp, RelayRole aRole) -> void;
   // A heartbeat of the peer's former process, which arrives late, is ignored.
   // @return true if the peer is new or was restarted.
   auto OnHeartbeat(std::uint32_t aIp, const RelayHeartbeat& aHeartbeat) -> bool;
@@ -63,9 +66,9 @@
   // with others. Always true for near ones.
   auto HasComparableLoad(std::uint32_t aIp) const -> bool;
   // True if the peer has stopped, has not reported its load after a first
-  // packet, which agents do at once, or is watched and has missed several
-  // heartbeats since it was expected or last heard; a far agent, if its domain
-  // reports so.
+  // packet, which agents do at once even if they were never heard, or is
+  // watched and has missed several heartbeats since it was expected or last
+  // heard; a far agent, if its domain reports so.
   auto IsSilent(std::uint32_t aIp) const -> bool;
   // The peer has stopped, and the backend server beside it, which was
   // registered then, holds no flow. Not known of agents whose next start may go
@@ -73,9 +76,27 @@
   // @param aRegistered since when the server's registration is known.
   auto HasStoppedWithoutFlows(std::uint32_t aIp, TimePoint aRegistered) const
     -> bool;
-  // A balancer was heard at the address since a target was registered there.
+  // A heartbeat of the peer was received, or this agent runs at the address.
+  auto HasHeard(std::uint32_t aIp) const -> bool;
+  // This balancer runs at the address, or a balancer was heard there: since a
+  // target was registered there, or so recently that nobody else has it yet.
   // @param aRegistered since when the registration is known.
   auto RunsNoAgent(std::uint32_t aIp, TimePoint aRegistered) const -> bool;
+  // A near agent was never heard, and its first heartbeat is expected.
+  auto IsAwaited(std::uint32_t aIp) const -> bool;
+  // A near agent that was never heard has not replied to a heartbeat.
+  auto IsUnanswering(std::uint32_t aIp) const -> bool;
+  // Nobody was heard at the address although heartbeats have been expected from
+  // it for kVacantAddressTime.
+  auto IsVacant(std::uint32_t aIp) const -> bool;
+  // A report of another domain names the address as a balancer's.
+  auto OnBalancerReported(std::uint32_t aIp) -> void;
+  // A far agent that was never heard is asked for a heartbeat.
+  auto OnProbed(std::uint32_t aIp) -> void;
+  // False if the address of a registration has no agent, as far as is known: a
+  // balancer has it, it is vacant, or it left several probes unanswered.
+  // @param aRegistered since when the registration is known.
+  auto CountsAsAgent(std::uint32_t aIp, TimePoint aRegistered) const -> bool;
   // Sets the period at which peers send; both sides derive it from the number
   // of targets.
   auto SetHeartbeatPeriod(Millis aPeriod) -> void { period_ = aPeriod; }
@@ -91,8 +112,19 @@
   auto MeanServiceTime(ServiceId aService) const -> std::chrono::microseconds;
 
 private:
+  // First packets sent to an agent that was not heard.
+  struct UnheardPlacements
+  {
+    std::uint32_t count = 0;
+    TimePoint since; // of the first
+  };
+
   auto IsFarSilent(std::uint32_t aIp) const -> bool;
   auto IsWatched(std::uint32_t aIp) const -> bool;
+  auto IsUnheardSilent(std::uint32_t aIp) const -> bool;
+  // True if heartbeats of a near agent that was never heard have been expected
+  // for longer than this.
+  auto IsOverdue(std::uint32_t aIp, Millis aTime) const -> bool;
 
   const Clock& clock_;
   DomainReports reports_;
@@ -103,7 +135,12 @@
   // Peers that have sent no heartbeat, with the time from which they are
   // expected.
   std::unordered_map<std::uint32_t, TimePoint> expected_;
-  std::unordered_map<std::uint32_t, std::uint32_t> placedAtUnknown_;
+  std::unordered_map<std::uint32_t, UnheardPlacements> placedAtUnheard_;
+  std::unordered_map<std::uint32_t, TimePoint> reportedBalancers_;
+  // Probes since an agent was last heard.
+  std::unordered_map<std::uint32_t, std::uint32_t> probes_;
+  std::uint32_t self_ = 0;
+  RelayRole selfRole_ = RelayRole::Agent;
 };
 
 } // namespace damaskwalk
--- a/src/relay/placement_expected_wait.cpp
+++ b/src/relay/placement_expected_wait.cpp
@@ -32,9 +32,10 @@
 enum class Preference : std::uint8_t
 {
   Preferred, // registered, not silent, answering
-  Doubtful,  // silent agent, lapsed registration, not answering, or failing
+  Doubtful,  // silent or not heard for several flows, lapsed registration, not
+             // answering, or failing
   OnTrial,   // ejected for failures; may be tried again
-  Never,
+  Never,     // must get no new flows, or has no agent
 };
 
 class PlacementExpectedWait final : public FirstPacketPlacement
@@ -86,6 +87,8 @@
     doubtful_.clear();
     onTrial_.clear();
     const bool needsFailing = order_.MustUseFailing(aService);
+    // An agent left the first packet unanswered: the next one has been heard.
+    maxUnheardPlacements_ = aExcluded.IsValid() ? 0 : kMaxUnheardPlacements;
     for (const auto index : state_.TargetsOfService(aService)) {
       const auto& known = state_.KnownTargets()[index];
       if (known.target.agent == aExcluded) {
@@ -125,13 +128,19 @@
         aKnown.standing == TargetStanding::Gone || aKnown.evacuated) {
       return Preference::Never;
     }
+    if (!order_.MayHaveAgent(aKnown)) {
+      return Preference::Never;
+    }
     const auto ip = aKnown.target.agent.ip;
     const auto* peer = peers_.Find(ip);
-    if (aKnown.standing != TargetStanding::Open || peers_.IsSilent(ip)) {
+    if (aKnown.standing != TargetStanding::Open || peers_.IsSilent(ip) ||
+        peers_.IsUnanswering(ip)) {
       return Preference::Doubtful;
     }
     if (!peer || !peer->hasLoad) {
-      return Preference::Preferred;
+      return peers_.PlacedSinceReport(ip) < maxUnheardPlacements_
+               ? Preference::Preferred
+               : Preference::Doubtful;
     }
     const auto& load = peer->load;
     if (!load.acceptsFlows || load.draining || order_.ServesOther(aKnown)) {
@@ -206,6 +215,7 @@
   SearchOrder order_;
   const Clock& clock_;
   std::mt19937_64 random_;
+  std::uint32_t maxUnheardPlacements_ = kMaxUnheardPlacements;
   // Scratch lists; members to save allocations.
   std::vector<const KnownTarget*> near_;
   std::vector<const KnownTarget*> far_;
--- a/src/relay/search_order.cpp
+++ b/src/relay/search_order.cpp
@@ -4,6 +4,7 @@
 #include "relay/limits.h"
 
 #include <limits>
+#include <tuple>
 
 namespace damaskwalk {
 
@@ -13,13 +14,26 @@
 {
 }
 
+auto SearchOrder::IsAgent(const Endpoint& aAgent) const -> bool
+{
+  const auto* known = state_.FindAgent(aAgent);
+  return !peers_.RunsNoAgent(aAgent.ip, known ? known->since : TimePoint{});
+}
+
+auto SearchOrder::MayHaveAgent(const KnownTarget& aKnown) const -> bool
+{
+  const auto ip = aKnown.target.agent.ip;
+  return !peers_.RunsNoAgent(ip, aKnown.since) && !peers_.IsVacant(ip);
+}
+
 auto SearchOrder::DirectoryAgents(const RelayRoute& aRoute,
                                   const FlowKey& aFlow) const
   -> std::vector<Endpoint>
 {
   struct Rank
   {
-    bool heard = false;
+    // Agents that answer, then near ones that may, then silent ones.
+    int answering = 0;
     std::uint64_t weight = 0;
     Endpoint agent;
   };
@@ -27,19 +41,24 @@
   Rank second;
   const auto key = HashOf(aFlow);
   const auto ranksBefore = [](const Rank& aLeft, const Rank& aRight) {
-    return aLeft.heard != aRight.heard ? aLeft.heard
-                                       : aLeft.weight > aRight.weight;
+    return aLeft.answering != aRight.answering
+             ? aLeft.answering > aRight.answering
+             : aLeft.weight > aRight.weight;
   };
   for (const auto service : state_.ServicesHolding(aRoute)) {
     for (const auto index : state_.TargetsOfService(service)) {
       const auto& known = state_.KnownTargets()[index];
-      if (known.standing == TargetStanding::Gone) {
+      if (known.standing == TargetStanding::Gone || !MayHaveAgent(known)) {
         continue;
       }
       const auto& agent = known.target.agent;
-      Rank rank{ !peers_.IsSilent(agent.ip),
-                 RendezvousWeight(key, agent),
-                 agent };
+      const bool isSilent =
+        peers_.IsSilent(agent.ip) || peers_.IsUnanswering(agent.ip);
+      const Rank rank{ isSilent                     ? 0
+                       : peers_.IsAwaited(agent.ip) ? 1
+                                                    : 2,
+                       RendezvousWeight(key, agent),
+                       agent };
       if (!first.agent.IsValid() || ranksBefore(rank, first)) {
         second = first;
         first = rank;
@@ -71,7 +90,7 @@
       const auto& known = state_.KnownTargets()[index];
       const auto& agent = known.target.agent;
       const auto weight = RendezvousWeight(key, agent);
-      if (weight >= aWeight) {
+      if (weight >= aWeight || !MayHaveAgent(known)) {
         continue;
       }
       if (!IsSilent(known)) {
@@ -110,10 +129,11 @@
 {
   const auto key = HashOf(aFlow);
   const auto own = RendezvousWeight(key, aAfter);
-  std::uint64_t lowerWeight = 0;
-  std::uint64_t highestWeight = 0;
-  std::optional<Endpoint> lower;   // the highest weight below the own one
-  std::optional<Endpoint> highest; // where the order starts over
+  // Compared in this order: not awaited, then below the own weight, where the
+  // order goes on, then by weight.
+  using Rank = std::tuple<bool, bool, std::uint64_t>;
+  Rank best;
+  std::optional<Endpoint> next;
   for (const auto& entry : aRoute.services) {
     for (const auto index : state_.TargetsOfService(entry.service)) {
       const auto& known = state_.KnownTargets()[index];
@@ -122,17 +142,14 @@
         continue;
       }
       const auto weight = RendezvousWeight(key, agent);
-      if (weight < own && (!lower || weight > lowerWeight)) {
-        lowerWeight = weight;
-        lower = agent;
-      }
-      if (!highest || weight > highestWeight) {
-        highestWeight = weight;
-        highest = agent;
+      const Rank rank{ !peers_.IsAwaited(agent.ip), weight < own, weight };
+      if (!next || rank > best) {
+        best = rank;
+        next = agent;
       }
     }
   }
-  return lower ? lower : highest;
+  return next;
 }
 
 auto SearchOrder::AcceptsNewFlows(const KnownTarget& aKnown) const -> bool
@@ -143,7 +160,8 @@
     !peer || !peer->hasLoad ||
     (peer->load.acceptsFlows && !peer->load.draining && !peer->load.failing);
   return aKnown.standing == TargetStanding::Open && !aKnown.evacuated &&
-         answering && !peers_.IsSilent(ip) && !ServesOther(aKnown);
+         answering && !peers_.IsSilent(ip) && !ServesOther(aKnown) &&
+         MayHaveAgent(aKnown);
 }
 
 auto SearchOrder::ServesOther(const KnownTarget& aKnown) const -> bool
@@ -160,12 +178,12 @@
   // Nobody reports on a far agent after its target is gone.
   const bool unwatched =
     aKnown.standing == TargetStanding::Gone && peers_.IsFar(ip);
-  return unwatched || peers_.IsSilent(ip);
+  return unwatched || peers_.IsSilent(ip) || peers_.IsUnanswering(ip);
 }
 
 auto SearchOrder::MayHoldFlows(const KnownTarget& aKnown) const -> bool
 {
-  return aKnown.standing != TargetStanding::Gone &&
+  return aKnown.standing != TargetStanding::Gone && MayHaveAgent(aKnown) &&
          !peers_.HasStoppedWithoutFlows(aKnown.target.agent.ip, aKnown.since);
 }
 
@@ -175,7 +193,10 @@
   std::size_t healthy = 0;
   for (const auto index : state_.TargetsOfService(aService)) {
     const auto& known = state_.KnownTargets()[index];
-    open += known.standing == TargetStanding::Open && !known.evacuated ? 1 : 0;
+    open += known.standing == TargetStanding::Open && !known.evacuated &&
+                MayHaveAgent(known)
+              ? 1
+              : 0;
     healthy += AcceptsNewFlows(known) ? 1 : 0;
   }
   return double(healthy) < kMinHealthyShare * double(open);
--- a/src/relay/search_order.h
+++ b/src/relay/search_order.h
@@ -25,6 +25,11 @@
 public:
   SearchOrder(const FleetState& aState, const PeerTable& aPeers);
 
+  // False if no agent runs at the address, whatever the registrations say.
+  auto IsAgent(const Endpoint& aAgent) const -> bool;
+  // False if the registration is known to name no agent: a balancer runs at its
+  // address, or nobody.
+  auto MayHaveAgent(const KnownTarget& aKnown) const -> bool;
   // The two agents that keep the record of a flow, in order; silent agents come
   // after all others.
   auto DirectoryAgents(const RelayRoute& aRoute, const FlowKey& aFlow) const
@@ -36,7 +41,8 @@
   auto Next(const RelayRoute& aRoute,
             const FlowKey& aFlow,
             const Endpoint& aAfter) const -> SearchStep;
-  // The next agent that accepts new flows, wrapping around at the end.
+  // The next agent that accepts new flows, wrapping around at the end. Near
+  // agents whose first heartbeat is awaited come after all others.
   auto NextAccepting(const RelayRoute& aRoute,
                      const FlowKey& aFlow,
                      const Endpoint& aAfter) const -> std::optional<Endpoint>;
--- a/src/relay_node/relay_metrics.cpp
+++ b/src/relay_node/relay_metrics.cpp
@@ -72,6 +72,9 @@
   count("resets_total", "Flows refused by a reset", counters.resets);
   count("packets_no_route_total", "Packets of no route", counters.noRoute);
   count("packets_no_agent_total", "Packets without an agent", counters.noAgent);
+  count("packets_strayed_total",
+        "Packets of relays that took this balancer for an agent",
+        counters.strayed);
   aList.Gauge("flows", "Flow entries", double(aRelay.Flows()));
 }
 
@@ -227,6 +230,9 @@
                double(guard_.Count()));
   list.Counter(
     "garbage_packets_total", "Unreadable packets", double(malformedPackets_));
+  list.Counter("packets_to_self_total",
+               "Dropped packets that were addressed to this process",
+               double(packetsToSelf_));
   list.Counter("garbage_peer_messages_total",
                "Unreadable messages of peers",
                double(malformedPeerMessages_));
--- a/src/relay_node/relay_peers.cpp
+++ b/src/relay_node/relay_peers.cpp
@@ -29,7 +29,8 @@
         exchange_.OnHeartbeat(aFrom.ip, *heartbeat, *this);
       } else if (const auto* location =
                    std::get_if<FlowLocation>(&message.body)) {
-        if (balancer_ && location->agent.ip == aFrom.ip) {
+        if (balancer_ &&
+            location->agent == Endpoint{ aFrom.ip, settings_.packets.port }) {
           balancer_->OnFlowLocation(*location);
         }
       } else if (const auto* report =
--- a/src/relay_node/relay_process.cpp
+++ b/src/relay_node/relay_process.cpp
@@ -101,7 +101,8 @@
     agent_ = std::make_unique<AgentRelay>(
       AgentRelayInit{ settings_.packets,
                       ServiceIdOf(settings_.service),
-                      settings_.backend.port },
+                      settings_.backend.port,
+                      settings_.failureDomain },
       state_,
       peers_,
       init_.reader,
@@ -171,14 +172,17 @@
 
 // Packets.
 
-auto RelayProcess::OnCallerDatagram(std::span<char> aBytes, const Endpoint&)
-  -> void
+auto RelayProcess::OnCallerDatagram(std::span<char> aBytes,
+                                    const Endpoint& aFrom) -> void
 {
   const auto packet = init_.codec.Decode(aBytes, PacketOrigin::Caller);
   if (!packet || packet->returned) {
     ++malformedPackets_;
     return;
   }
+  if (balancer_ && packet->tag != RelayTag{} && peers_.HasHeard(aFrom.ip)) {
+    ReportLoadTo(aFrom.ip); // the relay takes this process for an agent
+  }
   lastCallerPacket_ = init_.clock.Now();
   if (state_.HasState()) {
     OnCallerPacket(*packet);
@@ -250,6 +254,10 @@
 auto RelayProcess::SendToAgent(const Endpoint& aAgent, const Packet& aPacket)
   -> void
 {
+  if (aAgent.ip == settings_.packets.ip) {
+    ++packetsToSelf_; // would circulate
+    return;
+  }
   init_.codec.WriteTag(aPacket.bytes, aPacket.tag);
   traffic_.Add(TrafficKind::Packet, aAgent.ip, aPacket.bytes.size());
   packetSocket_.Queue({ aPacket.bytes.data(), aPacket.bytes.size() }, aAgent);
--- a/src/relay_node/relay_process.h
+++ b/src/relay_node/relay_process.h
@@ -219,6 +219,7 @@
   PeerTraffic traffic_;
   TimePoint nextTrafficLog_;
   std::uint64_t malformedPackets_ = 0;
+  std::uint64_t packetsToSelf_ = 0; // dropped
   std::uint64_t malformedPeerMessages_ = 0;
   std::uint64_t unknownPeerMessages_ = 0; // of a kind that a later release has
 };
--- a/tests/relay_model.cpp
+++ b/tests/relay_model.cpp
@@ -212,6 +212,14 @@
 
 auto RelayModel::DeliverToAgent(std::uint32_t aIp, std::string aBytes) -> void
 {
+  ++relayedPackets_;
+  for (auto& balancer : balancers_) {
+    if (balancer->port.ip == aIp) {
+      ++strayPackets_;
+      auto stray = codec_->Decode(aBytes, PacketOrigin::Caller);
+      balancer->balancer->OnCallerPacket(*stray, balancer->port);
+    }
+  }
   for (auto& target : targets_) {
     auto& node = *target->node;
     if (target->ip != aIp || !node.running || !node.state.HasState()) {
@@ -525,10 +533,33 @@
     for (auto& target : targets_) {
       balancer->port.SendToPeer(target->ip, PeerMessage{ heartbeat });
     }
+    for (const auto& entry : foreignEntries_) {
+      if (FindNode(entry.agent.ip) != balancer.get()) {
+        balancer->port.SendToPeer(entry.agent.ip, PeerMessage{ heartbeat });
+      }
+    }
+  }
+  for (auto& target : targets_) {
+    ExpectHeartbeats(*target->node, ServiceIdOf(ServiceName(target->service)));
+  }
+  for (auto& balancer : balancers_) {
+    ExpectHeartbeats(*balancer, {});
   }
   After(kRelayHeartbeatPeriod, [this] { SendHeartbeats(); });
 }
 
+auto RelayModel::ExpectHeartbeats(Node& aNode, ServiceId aService) -> void
+{
+  const auto services = aNode.state.ServicesSharingRoutes(aService);
+  for (const auto& known : aNode.state.KnownTargets()) {
+    const auto& target = known.target;
+    if (target.agent.ip != aNode.port.ip &&
+        (!aService.IsValid() || services.contains(target.service))) {
+      aNode.peers.ExpectHeartbeats(target.agent.ip);
+    }
+  }
+}
+
 auto RelayModel::RunTicks() -> void
 {
   for (auto& target : targets_) {
--- a/tests/relay_model.h
+++ b/tests/relay_model.h
@@ -130,6 +130,7 @@
   auto SetDraining(std::size_t aTarget) -> void;
   // Registers an entry of another program. Takes effect with the next Publish.
   auto AddEntry(RelayTarget aEntry) -> void;
+  auto RemoveEntries() -> void { foreignEntries_.clear(); }
   auto Register(std::size_t aTarget, bool aRegistered) -> void;
   // Updates the registrations in all processes, or only in those that aSelects
   // selects; the others keep their old view.
@@ -166,6 +167,11 @@
   // named, without those by which it is asked for a flow: on behalf of another
   // agent, or by an agent that does not know which services the route named.
   auto ForeignPackets() const -> std::uint32_t { return foreignPackets_; }
+  // Packets that relays sent to other relays.
+  auto RelayedPackets() const -> std::uint32_t { return relayedPackets_; }
+  // Of these, packets that reached a balancer.
+  auto StrayPackets() const -> std::uint32_t { return strayPackets_; }
+  auto BalancerIp(std::size_t aBalancer) const -> std::uint32_t;
   auto LongestAgentPath() const -> std::uint32_t { return longestPath_; }
   auto Now() const -> TimePoint { return clock_.Now(); }
 
@@ -202,6 +208,8 @@
   auto SendHeartbeats() -> void;
   // @param aToAll also to agents of services that share no route with its own.
   auto SendHeartbeat(Target& aTarget, bool aStopping, bool aToAll) -> void;
+  // @param aService of the node's agent; invalid: a balancer, which hears all.
+  auto ExpectHeartbeats(Node& aNode, ServiceId aService) -> void;
   auto RunTicks() -> void;
   auto CurrentTargets() const -> TargetSet;
   auto CurrentRoutes() const -> RouteTable;
@@ -226,6 +234,8 @@
   std::size_t queueLimit_ = 1000000;
   std::uint32_t requestsReset_ = 0;
   std::uint32_t foreignPackets_ = 0;
+  std::uint32_t relayedPackets_ = 0;
+  std::uint32_t strayPackets_ = 0;
   std::uint32_t longestPath_ = 0;
   std::uint16_t nextPort_ = 1000;
   std::uint32_t caller_ = 0;
--- a/tests/relay_model_faults.cpp
+++ b/tests/relay_model_faults.cpp
@@ -247,6 +247,11 @@
   return targets_[aTarget]->ip;
 }
 
+auto RelayModel::BalancerIp(std::size_t aBalancer) const -> std::uint32_t
+{
+  return balancers_[aBalancer]->port.ip;
+}
+
 auto RelayModel::Agent(std::size_t aTarget) -> AgentRelay&
 {
   return *targets_[aTarget]->node->agent;
