Fleet size and store readers: addresses without an agent do not count

Callers saw: with entries of a service in use at addresses of nobody, routes that were refused for seconds after their configuration, and with more than 100 of them, domains that were taken for lost.

Cause: each registration of a service in use counted as an agent, also where nobody runs one. Such addresses ranked before the agents that read the store, made a large fleet of a small one, and drew most of the reports and announcements between domains.

Fix: the rank of readers and the size of the fleet leave out addresses without an agent. In a fleet that looks large, a process asks far agents that it never heard, until it has heard more than a full mesh has; those that leave three probes unanswered do not count. Reports and announcements go to agents that are not silent, as long as there are any; shares of reporters and of silent agents are those of heard processes.

Evidence: AgentAddress.AddressesOfNobodyReadNoStore, PeerExchange.AddressesOfNobodyMakeNoLargeFleet and AddressesOfNobodyLeaveALargeFleetItsHeartbeats.

--- a/src/relay/heartbeat_plan.cpp
+++ b/src/relay/heartbeat_plan.cpp
@@ -18,12 +18,14 @@
 
 // Agents with a registered target of a service in use. After an outage a target
 // may be registered anew while its former registration lasts.
-auto CountAgents(const FleetState& aState) -> std::size_t
+auto CountAgents(const FleetState& aState, const PeerTable& aPeers)
+  -> std::size_t
 {
   std::unordered_set<std::uint32_t> agents;
   for (const auto& known : aState.KnownTargets()) {
     if (known.standing != TargetStanding::Gone &&
-        aState.IsInUse(known.target.service)) {
+        aState.IsInUse(known.target.service) &&
+        aPeers.CountsAsAgent(known.target.agent.ip, known.since)) {
       agents.insert(known.target.agent.ip);
     }
   }
@@ -38,19 +40,27 @@
 {
 }
 
-auto HeartbeatPlan::Update(const FleetState& aState) -> void
+auto HeartbeatPlan::IsOutdated(const FleetState& aState,
+                               const PeerTable& aPeers) const -> bool
+{
+  return CountAgents(aState, aPeers) != agents_;
+}
+
+auto HeartbeatPlan::Update(const FleetState& aState, const PeerTable& aPeers)
+  -> void
 {
   near_.clear();
   unused_.clear();
   padding_.clear();
   far_.clear();
   farDomains_.clear();
-  agents_ = CountAgents(aState);
+  agents_ = CountAgents(aState, aPeers);
   fullMesh_ = agents_ <= kFullMeshTargets;
   if (fullMesh_) {
+    isSizeCertain_ = false;
     UpdateFullMesh(aState);
   } else {
-    UpdateByDomain(aState);
+    UpdateByDomain(aState, aPeers);
   }
 }
 
@@ -69,7 +79,8 @@
   }
 }
 
-auto HeartbeatPlan::UpdateByDomain(const FleetState& aState) -> void
+auto HeartbeatPlan::UpdateByDomain(const FleetState& aState,
+                                   const PeerTable& aPeers) -> void
 {
   for (const auto& known : aState.KnownTargets()) {
     const auto& target = known.target;
@@ -93,40 +104,77 @@
       farDomains_[DomainIdOf(target.failureDomain)].push_back(ip);
     }
   }
-  LimitNear();
-  PadNear();
+  LimitNear(aPeers);
+  PadNear(aPeers);
 }
 
-auto HeartbeatPlan::LimitNear() -> void
+auto HeartbeatPlan::LimitNear(const PeerTable& aPeers) -> void
 {
   if (near_.size() <= kMaxNearAgents) {
     return;
   }
-  std::ranges::sort(
-    near_, {}, [this](auto aIp) { return RingDistance(init_.self, aIp); });
+  std::ranges::sort(near_, {}, [&](auto aIp) {
+    return std::pair(aPeers.IsVacant(aIp), RingDistance(init_.self, aIp));
+  });
   far_.insert(near_.begin() + kMaxNearAgents, near_.end());
   near_.resize(kMaxNearAgents);
 }
 
-auto HeartbeatPlan::PadNear() -> void
+auto HeartbeatPlan::PadNear(const PeerTable& aPeers) -> void
 {
   if (near_.size() >= kMinNearAgents) {
     return;
   }
   std::vector<std::uint32_t> order(far_.begin(), far_.end());
-  std::ranges::sort(
-    order, {}, [this](auto aIp) { return RingDistance(init_.self, aIp); });
+  std::ranges::sort(order, {}, [&](auto aIp) {
+    return std::pair(!aPeers.CountsAsAgent(aIp, TimePoint::max()),
+                     RingDistance(init_.self, aIp));
+  });
   const auto count = std::min(kMinNearAgents - near_.size(), order.size());
   padding_.assign(order.begin(), order.begin() + std::ptrdiff_t(count));
 }
 
-auto HeartbeatPlan::SampleDomains(std::size_t aPerDomain)
+auto HeartbeatPlan::SampleDomains(std::size_t aPerDomain,
+                                  const PeerTable& aPeers)
   -> std::vector<std::uint32_t>
 {
   std::vector<std::uint32_t> sample;
-  for (const auto& [domain, agents] : farDomains_) {
+  for (const auto& [domain, members] : farDomains_) {
+    std::vector<std::uint32_t> agents;
+    std::ranges::copy_if(members, std::back_inserter(agents), [&](auto aIp) {
+      return aPeers.CountsAsAgent(aIp, TimePoint::max()) &&
+             !aPeers.IsSilent(aIp);
+    });
+    std::ranges::sample(agents.empty() ? members : agents,
+                        std::back_inserter(sample),
+                        std::ptrdiff_t(aPerDomain),
+                        random_);
+  }
+  return sample;
+}
+
+auto HeartbeatPlan::SampleUnheard(std::size_t aCount, const PeerTable& aPeers)
+  -> std::vector<std::uint32_t>
+{
+  if (isSizeCertain_) {
+    return {};
+  }
+  std::vector<std::uint32_t> unheard;
+  const std::unordered_set<std::uint32_t> near(near_.begin(), near_.end());
+  const auto isHeard = [&](auto aIp) { return aPeers.HasHeard(aIp); };
+  auto heard = std::ranges::count_if(near, isHeard);
+  for (const auto ip : far_) {
+    if (isHeard(ip)) {
+      ++heard;
+    } else if (aPeers.CountsAsAgent(ip, TimePoint::max())) {
+      unheard.push_back(ip);
+    }
+  }
+  isSizeCertain_ = static_cast<std::size_t>(heard) > kFullMeshTargets;
+  std::vector<std::uint32_t> sample;
+  if (!isSizeCertain_) {
     std::ranges::sample(
-      agents, std::back_inserter(sample), std::ptrdiff_t(aPerDomain), random_);
+      unheard, std::back_inserter(sample), std::ptrdiff_t(aCount), random_);
   }
   return sample;
 }
--- a/src/relay/heartbeat_plan.h
+++ b/src/relay/heartbeat_plan.h
@@ -10,6 +10,7 @@
 
 #include "relay/fleet_state.h"
 #include "relay/peer_messages.h"
+#include "relay/peer_table.h"
 
 #include <map>
 #include <random>
@@ -32,8 +33,11 @@
 public:
   explicit HeartbeatPlan(const HeartbeatPlanInit& aInit);
 
-  // To be called when targets changed.
-  auto Update(const FleetState& aState) -> void;
+  // To be called when targets changed, or if the plan is outdated.
+  auto Update(const FleetState& aState, const PeerTable& aPeers) -> void;
+  // True if other agents count than at the last update.
+  auto IsOutdated(const FleetState& aState, const PeerTable& aPeers) const
+    -> bool;
 
   // Near agents, which send periodic heartbeats to this process. Those whose
   // target is gone are among them.
@@ -49,7 +53,8 @@
   auto Padding() const -> const std::vector<std::uint32_t>& { return padding_; }
   // All other agents; empty in a full mesh.
   auto Far() const -> const std::unordered_set<std::uint32_t>& { return far_; }
-  // Agents of the fleet whose target is registered.
+  // Agents of the fleet whose target is registered. Registrations may also name
+  // addresses without an agent (PeerTable::CountsAsAgent).
   auto Agents() const -> std::size_t { return agents_; }
   auto IsFullMesh() const -> bool { return fullMesh_; }
   // Far agents by their failure domain.
@@ -59,24 +64,31 @@
     return farDomains_;
   }
 
-  // Random agents of each other domain.
-  auto SampleDomains(std::size_t aPerDomain) -> std::vector<std::uint32_t>;
+  // Random agents of each other domain, silent ones only if all are.
+  auto SampleDomains(std::size_t aPerDomain, const PeerTable& aPeers)
+    -> std::vector<std::uint32_t>;
   // Random far agents of any domain.
   auto SampleFar(std::size_t aCount) -> std::vector<std::uint32_t>;
+  // Random far agents that were never heard, as long as it is not known whether
+  // the fleet has more agents than a full mesh.
+  auto SampleUnheard(std::size_t aCount, const PeerTable& aPeers)
+    -> std::vector<std::uint32_t>;
   // True with the probability that makes kDomainReporters of aProcesses report.
   auto DrawReporter(std::size_t aProcesses) -> bool;
 
 private:
   auto UpdateFullMesh(const FleetState& aState) -> void;
-  auto UpdateByDomain(const FleetState& aState) -> void;
+  auto UpdateByDomain(const FleetState& aState, const PeerTable& aPeers)
+    -> void;
   // Keeps the agents that follow this process in a ring of hashes, so that each
   // is heard by as many others.
-  auto LimitNear() -> void;
-  auto PadNear() -> void;
+  auto LimitNear(const PeerTable& aPeers) -> void;
+  auto PadNear(const PeerTable& aPeers) -> void;
 
   HeartbeatPlanInit init_;
   std::mt19937_64 random_;
   bool fullMesh_ = true;
+  bool isSizeCertain_ = false; // more agents were heard than a full mesh has
   std::size_t agents_ = 0;
   std::vector<std::uint32_t> near_;
   std::unordered_set<std::uint32_t> unused_;
--- a/src/relay/peer_exchange.cpp
+++ b/src/relay/peer_exchange.cpp
@@ -114,7 +114,7 @@
 
 auto PeerExchange::OnStateChanged() -> void
 {
-  plan_.Update(state_);
+  plan_.Update(state_, peers_);
   peers_.SetFar(plan_.Far(), plan_.FarDomains());
   peers_.SetWatched(plan_.Near());
   behindSince_.reset();
@@ -132,6 +132,9 @@
   const auto now = clock_.Now();
   if (now >= nextHeartbeat_) {
     nextHeartbeat_ = now + peers_.HeartbeatPeriod();
+    if (plan_.IsOutdated(state_, peers_)) {
+      OnStateChanged();
+    }
     SendHeartbeats(aPort);
   }
   if (now >= nextReport_) {
@@ -181,6 +184,10 @@
     unanswering.resize(std::min(unanswering.size(), kFarProbesPerPeriod));
     probed.insert(unanswering.begin(), unanswering.end());
   }
+  for (const auto ip : plan_.SampleUnheard(kUnheardProbesPerPeriod, peers_)) {
+    peers_.OnProbed(ip);
+    probed.insert(ip);
+  }
   if (probed.empty()) {
     return;
   }
@@ -191,8 +198,8 @@
 
 auto PeerExchange::ReportDomain(RelayPort& aPort) -> void
 {
-  const auto agents = plan_.SampleDomains(1);
-  if (agents.empty() || !plan_.DrawReporter(NearPeers().size() + 1)) {
+  const auto agents = plan_.SampleDomains(1, peers_);
+  if (agents.empty() || !plan_.DrawReporter(CountHeard(NearPeers()) + 1)) {
     return;
   }
   const PeerMessage message{ MakeDomainReport() };
@@ -211,7 +218,9 @@
       report.silentAgents.push_back(ip);
     }
   }
-  if (2 * report.silentAgents.size() > plan_.Near().size()) {
+  const auto heard = CountHeard(plan_.Near());
+  const auto silent = CountHeard(report.silentAgents);
+  if (2 * silent > heard) {
     report.silentAgents.clear(); // this process may be the one that is cut off
   }
   if (init_.role == RelayRole::Balancer) {
@@ -232,7 +241,7 @@
     nextReannounce_ = clock_.Now() + kReannouncePeriod;
   }
   auto peers = plan_.IsFullMesh() ? KnownPeers() : NearPeers();
-  const auto far = plan_.SampleDomains(kFarAnnouncements);
+  const auto far = plan_.SampleDomains(kFarAnnouncements, peers_);
   peers.insert(far.begin(), far.end());
   SendToAll(peers, PeerMessage{ host_.MakeHeartbeat() }, aPort);
 }
@@ -285,6 +294,13 @@
   return peers;
 }
 
+template<class Addresses>
+auto PeerExchange::CountHeard(const Addresses& aAddresses) const -> std::size_t
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    aAddresses, [this](auto aIp) { return peers_.HasHeard(aIp); }));
+}
+
 auto PeerExchange::RegisteredBalancers() const
   -> std::unordered_set<std::uint32_t>
 {
--- a/src/relay/peer_exchange.h
+++ b/src/relay/peer_exchange.h
@@ -79,6 +79,9 @@
   // this process.
   auto IsNear(std::uint32_t aIp) const -> bool;
   auto NearPeers() const -> std::unordered_set<std::uint32_t>;
+  // Registrations also name addresses at which nobody was ever heard.
+  template<class Addresses>
+  auto CountHeard(const Addresses& aAddresses) const -> std::size_t;
   // Balancers at the addresses of near agents, which registrations of other
   // programs name.
   auto RegisteredBalancers() const -> std::unordered_set<std::uint32_t>;
--- a/src/relay/read_schedule.cpp
+++ b/src/relay/read_schedule.cpp
@@ -19,8 +19,9 @@
 
 } // namespace
 
-auto ReaderRank(const FleetState& aState, const Endpoint& aSelf)
-  -> std::uint32_t
+auto ReaderRank(const FleetState& aState,
+                const PeerTable& aPeers,
+                const Endpoint& aSelf) -> std::uint32_t
 {
   // An agent may have several registrations.
   const auto weight = ReaderWeight(aSelf);
@@ -34,7 +35,8 @@
     }
     const auto other = ReaderWeight(known.target.agent);
     isOpen |= isSelf;
-    if (other > weight) {
+    if (other > weight &&
+        aPeers.CountsAsAgent(known.target.agent.ip, known.since)) {
       ahead.insert(other);
     }
   }
--- a/src/relay/read_schedule.h
+++ b/src/relay/read_schedule.h
@@ -4,14 +4,17 @@
 // others take over by rank if the state has not been confirmed for a while.
 
 #include "relay/fleet_state.h"
+#include "relay/peer_table.h"
 
 namespace damaskwalk {
 
 // Position of a process in the order of store readers: agents by rendezvous
-// weight, then balancers, whose processors and links are smaller.
+// weight, then balancers, whose processors and links are smaller. Addresses
+// without an agent have no place in it.
 // @param aSelf the agent's packet endpoint; invalid for a balancer.
-auto ReaderRank(const FleetState& aState, const Endpoint& aSelf)
-  -> std::uint32_t;
+auto ReaderRank(const FleetState& aState,
+                const PeerTable& aPeers,
+                const Endpoint& aSelf) -> std::uint32_t;
 
 struct StartInit
 {
--- a/src/relay_node/relay_process.cpp
+++ b/src/relay_node/relay_process.cpp
@@ -329,7 +329,8 @@
     nextTrafficLog_ = now + kTrafficLogPeriod;
     LogTotals();
   }
-  const auto rank = ReaderRank(state_, agent_ ? settings_.packets : Endpoint{});
+  const auto rank =
+    ReaderRank(state_, peers_, agent_ ? settings_.packets : Endpoint{});
   if (!readingStore_ && !stopping_ && readSchedule_.IsDue(rank, state_.Age())) {
     const auto cause = readSchedule_.CauseOf(rank, state_.Age());
     asio::co_spawn(init_.io, ReadStore(cause), asio::detached);
--- a/tests/agent_address_test.cpp
+++ b/tests/agent_address_test.cpp
@@ -4,6 +4,7 @@
 
 #include "relay/limits.h"
 #include "relay/placement.h"
+#include "relay/read_schedule.h"
 #include "relay_model.h"
 #include "test_support.h"
 
@@ -254,4 +255,34 @@
 
 // Entries of a service in use. Guards against a configuration that is read
 
+// Entries of a service in use. Guards against a configuration that is read
+// seconds late, as addresses of nobody rank before the agents that read it.
+TEST(AgentAddress, AddressesOfNobodyReadNoStore)
+{
+  ManualClock clock;
+  FleetState state(clock);
+  PeerTable peers(clock);
+  TargetSet set;
+  set.revision = 1;
+  std::vector<std::uint32_t> watched;
+  for (std::uint32_t i = 0; i < 40; ++i) {
+    set.targets.push_back(EntryAt(i < 3 ? kIp + i : kVacantIps + i));
+    watched.push_back(set.targets.back().agent.ip);
+  }
+  state.UpdateTargets(set, Millis{ 0 });
+  peers.SetWatched(watched);
+  for (const auto ip : watched) {
+    peers.ExpectHeartbeats(ip);
+  }
+  clock.Advance(kVacantAddressTime + Millis{ 1 });
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    peers.OnHeartbeat(kIp + i, HeartbeatOf(RelayRole::Agent));
+  }
+  std::set<std::uint32_t> ranks;
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    ranks.insert(ReaderRank(state, peers, { kIp + i, kModelAgentPort }));
+  }
+  EXPECT_EQ(ranks, (std::set<std::uint32_t>{ 0, 1, 2 }));
+}
+
 } // namespace damaskwalk
--- a/tests/foreign_entry_test.cpp
+++ b/tests/foreign_entry_test.cpp
@@ -278,10 +278,10 @@
   aState.UpdateTargets(set, Millis{ 0 });
 }
 
-auto PlanOf(const FleetState& aState) -> HeartbeatPlan
+auto PlanOf(const FleetState& aState, const Clock& aClock) -> HeartbeatPlan
 {
   HeartbeatPlan plan({ kIp, RelayRole::Agent, "domain-0", kService, 1 });
-  plan.Update(aState);
+  plan.Update(aState, PeerTable(aClock));
   return plan;
 }
 
@@ -295,9 +295,10 @@
   FleetState state(clock);
   constexpr std::uint32_t kAgents = 3;
   MakeFleet(state, kAgents, 36);
+  const PeerTable peers(clock);
   std::set<std::uint32_t> ranks;
   for (std::uint32_t i = 0; i < kAgents; ++i) {
-    ranks.insert(ReaderRank(state, { kIp + i, kModelAgentPort }));
+    ranks.insert(ReaderRank(state, peers, { kIp + i, kModelAgentPort }));
   }
   EXPECT_EQ(ranks, (std::set<std::uint32_t>{ 0, 1, 2 }));
 }
@@ -310,7 +311,7 @@
   ManualClock clock;
   FleetState state(clock);
   MakeFleet(state, 6, 110);
-  const auto plan = PlanOf(state);
+  const auto plan = PlanOf(state, clock);
   EXPECT_EQ(plan.Agents(), 6U);
   EXPECT_TRUE(plan.IsFullMesh());
 }
@@ -322,7 +323,7 @@
   FleetState state(clock);
   constexpr std::uint32_t kAgents = 120;
   MakeFleet(state, kAgents, 300);
-  const auto plan = PlanOf(state);
+  const auto plan = PlanOf(state, clock);
   EXPECT_FALSE(plan.IsFullMesh());
   EXPECT_EQ(plan.Near().size(), kAgents / 3 - 1);
   EXPECT_EQ(plan.Far().size(), kAgents * 2 / 3);
--- a/tests/peer_exchange_test.cpp
+++ b/tests/peer_exchange_test.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::uint32_t kAgentIps = 0x0A010000;
 constexpr std::uint32_t kBalancerIps = 0x0A020000;
+constexpr std::uint32_t kVacantIps = 0x0A030000;
 constexpr std::uint16_t kAgentPort = 8172;
 constexpr Millis kStep{ 25 };
 
@@ -22,13 +23,18 @@
 {
   std::uint64_t near = 0;
   std::uint64_t far = 0;
+  std::uint64_t farStates = 0; // pulls from another domain
 };
 
 // A fleet with as many balancers as a third of its agents, in five domains.
 class ExchangeFleet
 {
 public:
-  ExchangeFleet(std::size_t aAgents, double aLoss, std::uint64_t aSeed = 1)
+  // @param aVacant registrations of addresses that nobody has.
+  ExchangeFleet(std::size_t aAgents,
+                double aLoss,
+                std::uint64_t aSeed = 1,
+                std::size_t aVacant = 0)
     : random_(aSeed)
     , loss_(aLoss)
   {
@@ -51,6 +57,14 @@
       target.failureDomain = DomainName(i % 5);
       set_.targets.push_back(target);
     }
+    for (std::size_t i = 0; i < aVacant; ++i) {
+      RelayTarget target;
+      target.id = "v" + std::to_string(i);
+      target.service = ServiceIdOf("s");
+      target.agent = { static_cast<std::uint32_t>(kVacantIps + i), kAgentPort };
+      target.failureDomain = DomainName(i % 5);
+      set_.targets.push_back(target);
+    }
     agents_ = aAgents;
     Publish();
   }
@@ -126,6 +140,13 @@
     }
     return count;
   }
+  auto InFullMesh() const -> std::size_t
+  {
+    return static_cast<std::size_t>(
+      std::ranges::count_if(nodes_, [](const auto& aNode) {
+        return aNode->exchange->Plan().IsFullMesh();
+      }));
+  }
   auto Size() const -> std::size_t { return nodes_.size(); }
   auto Agents() const -> std::size_t { return agents_; }
   auto Sent() const -> const Traffic& { return sent_; }
@@ -193,6 +214,7 @@
     {
       auto& from = *fleet.nodes_[fleet.byIp_.at(aIp)];
       fleet.Count(*this, from, 70 * fleet.agents_);
+      fleet.sent_.farStates += domain == from.domain ? 0 : 1;
       if (state.UpdateTargets(from.state.Targets(), Millis{ 0 })) {
         exchange->OnStateChanged();
         exchange->OnStatePulled(aIp, *this);
@@ -208,6 +230,9 @@
       -> void override
     {
       auto bytes = EncodePeerMessage(aMessage);
+      if (!fleet.byIp_.contains(aIp)) {
+        return;
+      }
       auto& to = *fleet.nodes_[fleet.byIp_.at(aIp)];
       fleet.Count(*this, to, bytes.size());
       const auto draw =
@@ -312,11 +337,19 @@
   ExchangeFleet fleet(150, 0.02);
   fleet.Run(Millis{ 3000 });
   fleet.ResetTraffic();
+  fleet.Run(Millis{ 1000 });
+  const auto idle = fleet.Sent().far;
+  fleet.ResetTraffic();
   fleet.PublishAt(7);
   fleet.Run(Millis{ 1000 });
   EXPECT_EQ(fleet.WithNewestTargets(), fleet.Size());
   // Four other domains, three announcements each.
-  EXPECT_LE(fleet.Sent().far, 12 * 70 * fleet.Agents() + 60000);
+  constexpr std::uint64_t kAnnouncements = 12;
+  constexpr std::uint64_t kAnnouncementBytes = 250;
+  EXPECT_LE(fleet.Sent().farStates, kAnnouncements);
+  EXPECT_LE(fleet.Sent().far,
+            idle + fleet.Sent().farStates * 70 * fleet.Agents() +
+              kAnnouncements * kAnnouncementBytes);
 }
 
 // The agents to which the state was announced die with it. The next heartbeats
@@ -376,6 +409,31 @@
   EXPECT_EQ(fleet.KnownBalancers(0), fleet.Size() - fleet.Agents());
 }
 
+// Entries of a service in use at addresses of nobody make no large fleet of a
+// small one. Guards against domains that are taken for lost, as their reports
+// go to nobody.
+TEST(PeerExchange, AddressesOfNobodyMakeNoLargeFleet)
+{
+  ExchangeFleet fleet(10, 0.01, 1, 150);
+  fleet.Run(kVacantAddressTime + Millis{ 5000 });
+  EXPECT_EQ(fleet.InFullMesh(), fleet.Size());
+  fleet.Run(Millis{ 4000 });
+  EXPECT_EQ(fleet.FalselySilent(), 0U);
+}
+
+// Nor do they take the place of agents in a fleet that is large without them.
+TEST(PeerExchange, AddressesOfNobodyLeaveALargeFleetItsHeartbeats)
+{
+  ExchangeFleet fleet(150, 0.01, 1, 100);
+  fleet.Run(kVacantAddressTime + Millis{ 5000 });
+  for (int second = 0; second < 10; ++second) {
+    fleet.Run(Millis{ 1000 });
+    EXPECT_EQ(fleet.InFullMesh(), 0U);
+    EXPECT_EQ(fleet.FalselySilent(), 0U);
+  }
+  EXPECT_LE(DetectionTime(fleet, 3), Millis{ 5000 });
+}
+
 // Small fleets stay as they were: everybody hears all agents.
 TEST(PeerExchange, ASmallFleetIsAFullMesh)
 {
--- a/tests/relay_state_test.cpp
+++ b/tests/relay_state_test.cpp
@@ -163,9 +163,10 @@
     targets.push_back(Target(i));
   }
   state.UpdateTargets(SetOf(1, targets), Millis{ 0 });
+  const PeerTable peers(clock);
   std::vector<std::uint32_t> ranks;
   for (const auto& target : targets) {
-    ranks.push_back(ReaderRank(state, target.agent));
+    ranks.push_back(ReaderRank(state, peers, target.agent));
   }
   std::ranges::sort(ranks);
   for (std::uint32_t i = 0; i < ranks.size(); ++i) {
@@ -179,7 +180,7 @@
   EXPECT_FALSE(due(1, kStoreReadPeriod + Millis{ 200 }));
   EXPECT_TRUE(due(1, Millis{ 1100 }));
   EXPECT_FALSE(due(5, Millis{ 1100 }));
-  EXPECT_TRUE(due(ReaderRank(state, Endpoint{}), Millis{ 2200 }));
+  EXPECT_TRUE(due(ReaderRank(state, peers, Endpoint{}), Millis{ 2200 }));
   EXPECT_TRUE(schedule.IsDue(7, std::nullopt));
 }
 
--- a/tests/route_history_test.cpp
+++ b/tests/route_history_test.cpp
@@ -464,13 +464,13 @@
   state.UpdateTargets(set, Millis{ 0 });
   HeartbeatPlan plan({ 1, RelayRole::Agent, "a", kGateway, 1 });
   state.UpdateRoutes(TableOf(1, { kGateway, kDepot }));
-  plan.Update(state);
+  PeerTable peers(clock);
+  plan.Update(state, peers);
   EXPECT_EQ(plan.Near(), std::vector<std::uint32_t>{ 2 });
   state.UpdateRoutes(TableOf(2, { kGateway }));
-  plan.Update(state);
+  plan.Update(state, peers);
   EXPECT_EQ(plan.Near(), std::vector<std::uint32_t>{ 2 });
 
-  PeerTable peers(clock);
   peers.SetWatched(plan.Near());
   RelayHeartbeat heartbeat;
   heartbeat.role = RelayRole::Agent;
