Searches: agents are asked while they are heard, registered or not

Callers saw: resets of live flows. The entry of a server becomes unusable, or lapses, while the server runs on; after a restart of all processes nobody knew of it, each search was complete without its agent, and ended with a reset. If it was the only server of its service, packets of its flows were dropped without a word even while all processes remembered it.

Cause: who may hold a flow was taken from the registrations alone, present or of the last 40 s, and a balancer without a directory agent searched nobody.

Fix: an agent that is heard and whose service has no registration at its address is known as a gone target (FleetState::ObserveAgent): it gets no new flows and does not count for the fleet, but searches visit it, as long as it is heard and 40 s more. An agent is added once it was heard for 2 s without a registration: a server that has just started registers within it, and answers packets of flows that it does not hold with a reset before it is ready.

--- a/src/relay/fleet_state.cpp
+++ b/src/relay/fleet_state.cpp
@@ -221,6 +221,7 @@
   }
   targets_.revision = aSet.revision;
   if (changed) {
+    RemoveUnregistered(aSet);
     targets_.targets = aSet.targets;
     targetsHash_ = aSet.Hash();
     Rebuild();
@@ -246,6 +247,48 @@
   }
 }
 
+auto FleetState::ObserveAgent(const Endpoint& aAgent, ServiceId aService)
+  -> bool
+{
+  if (!hasTargets_) {
+    return false;
+  }
+  const auto now = clock_.Now();
+  for (const auto index : TargetsAt(aAgent)) {
+    auto& known = known_[index];
+    if (known.target.service == aService) {
+      known.heardAt = now;
+      heardUnregistered_.erase(aAgent);
+      return false;
+    }
+  }
+  const auto since = heardUnregistered_.try_emplace(aAgent, now).first->second;
+  if (now - since < kUnregisteredAgentDelay) {
+    return false;
+  }
+  heardUnregistered_.erase(aAgent);
+  KnownTarget known;
+  known.target.service = aService;
+  known.target.agent = aAgent;
+  known.standing = TargetStanding::Gone;
+  known.since = now;
+  known.heardAt = now;
+  known_.push_back(std::move(known));
+  Rebuild();
+  return true;
+}
+
+auto FleetState::RemoveUnregistered(const TargetSet& aSet) -> void
+{
+  std::erase_if(known_, [&aSet](const auto& aKnown) {
+    return aKnown.IsUnregisteredAgent() &&
+           std::ranges::any_of(aSet.targets, [&aKnown](const auto& aTarget) {
+             return aTarget.agent == aKnown.target.agent &&
+                    aTarget.service == aKnown.target.service;
+           });
+  });
+}
+
 auto FleetState::Confirm(const StateDigest& aDigest) -> void
 {
   ObserveEra(aDigest.targets.era);
@@ -290,11 +333,14 @@
   }
   const auto removed = std::erase_if(known_, [now](const auto& aKnown) {
     return aKnown.standing == TargetStanding::Gone &&
-           now - aKnown.since >= kGoneTargetRetention;
+           now - std::max(aKnown.since, aKnown.heardAt) >= kGoneTargetRetention;
   });
   if (changed || removed > 0) {
     Rebuild();
   }
+  std::erase_if(heardUnregistered_, [now](const auto& aEntry) {
+    return now - aEntry.second >= kGoneTargetRetention;
+  });
   const auto evacuations = evacuations_.Tick();
   OnEvacuationChange(evacuations);
   changed |= !evacuations.IsEmpty();
--- a/src/relay/fleet_state.h
+++ b/src/relay/fleet_state.h
@@ -172,6 +172,11 @@
   TimePoint coldUntil;    // end of the slow phase after its start
   bool draining = false;  // was registered as draining since its start
   bool evacuated = false; // its failure domain is evacuated
+  // Of a gone target: when its agent was last heard, if ever.
+  TimePoint heardAt{};
+
+  // A running agent without a registration, which may still hold flows.
+  auto IsUnregisteredAgent() const -> bool { return target.id.empty(); }
 };
 
 // The backend server beside an agent, as the agent's settings name it. Entries
@@ -209,11 +214,17 @@
   // @param aReadAge time since this set was read from the store.
   // @return true if a target or its standing changed.
   auto UpdateTargets(const TargetSet& aSet, Millis aReadAge) -> bool;
+  // An agent was heard. While it is, its backend server may hold flows,
+  // whatever became of the registration: a gone target of its service is kept,
+  // or added if there is none for kUnregisteredAgentDelay.
+  // @return true if one was added.
+  auto ObserveAgent(const Endpoint& aAgent, ServiceId aService) -> bool;
   // Takes over the revisions and the read time of a peer with the same targets
   // or evacuations.
   auto Confirm(const StateDigest& aDigest) -> void;
   // Marks vanished targets as gone after the grace period, and removes targets
-  // that have been gone for the retention time. Ends evacuations that a
+  // that have been gone, and whose agents were not heard, for the retention
+  // time. Ends evacuations that a
   // restored store has lost.
   // @return true if a target changed.
   auto Tick() -> bool;
@@ -292,6 +303,8 @@
   auto ReplaceTargets(const TargetSet& aSet, Millis aReadAge) -> bool;
   // Sets ports that a peer of an earlier release did not send.
   auto KeepKnownPorts(TargetSet& aSet) const -> void;
+  // Removes agents without a registration that have one now.
+  auto RemoveUnregistered(const TargetSet& aSet) -> void;
   auto Rebuild() -> void;
   // Adds a registration to the indexes unless one of the same port counts, or
   // one of another port that is more open.
@@ -313,6 +326,9 @@
   bool storeRestored_ = false;
   TimePoint confirmedAt_;
   std::vector<KnownTarget> known_;
+  // Agents that were heard without a registration, with the time of the first
+  // heartbeat.
+  std::unordered_map<Endpoint, TimePoint, KeyHash> heardUnregistered_;
   std::unordered_map<Endpoint, std::size_t, KeyHash> byAddress_;
   // All registrations at an agent's address, the latest start first.
   std::unordered_map<Endpoint, std::vector<std::size_t>, KeyHash> entriesAt_;
--- a/src/relay/heartbeat_plan.cpp
+++ b/src/relay/heartbeat_plan.cpp
@@ -88,7 +88,9 @@
     if (ip == init_.self) {
       continue;
     }
-    const bool isNear = target.failureDomain == init_.failureDomain;
+    // Agents without a registration are heard by near processes only.
+    const bool isNear = target.failureDomain == init_.failureDomain ||
+                        target.failureDomain.empty();
     if (!aState.IsInUse(target.service)) {
       if (isNear) {
         unused_.insert(ip);
--- a/src/relay/heartbeat_plan.h
+++ b/src/relay/heartbeat_plan.h
@@ -25,6 +25,9 @@
   std::string failureDomain;
   ServiceId service; // agents only
   std::uint64_t seed = 1;
+  // Port at which every agent receives packets; 0: not known. Then agents
+  // without a registration are not remembered.
+  std::uint16_t agentPort = 0;
 };
 
 // Agents are given by the address of their VM. Single threaded.
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -13,6 +13,10 @@
 // A vanished target counts as gone after this time. After a store outage,
 // lapsed registrations are renewed within it.
 constexpr Millis kLapsedTargetGracePeriod{ 2000 };
+// An agent that is heard for this long without a registration is searched. A
+// server that has just started registers within it; packets of flows that it
+// does not hold must not reach it before it is ready.
+constexpr Millis kUnregisteredAgentDelay{ 2000 };
 // A deregistered backend server may hold flows for as long as it drains.
 constexpr Millis kGoneTargetRetention{ 40000 };
 
--- a/src/relay/peer_exchange.cpp
+++ b/src/relay/peer_exchange.cpp
@@ -54,6 +54,9 @@
     host_.OnAgentStarted(aIp);
   }
   const bool isNear = IsNear(aIp);
+  if (isNear && !aHeartbeat.stopping) {
+    ObserveAgent(aIp, aHeartbeat);
+  }
   if ((isNew && isNear) || aHeartbeat.wantsReply) {
     aPort.SendToPeer(aIp, PeerMessage{ host_.MakeHeartbeat() });
   }
@@ -74,6 +77,19 @@
   }
 }
 
+auto PeerExchange::ObserveAgent(std::uint32_t aIp,
+                                const RelayHeartbeat& aHeartbeat) -> void
+{
+  if (init_.agentPort == 0 || aHeartbeat.load.empty()) {
+    return;
+  }
+  const auto service = aHeartbeat.load.front().service;
+  if (service.IsValid() &&
+      state_.ObserveAgent({ aIp, init_.agentPort }, service)) {
+    OnStateChanged();
+  }
+}
+
 auto PeerExchange::PullHistory(std::uint32_t aIp, const StateDigest& aDigest)
   -> void
 {
--- a/src/relay/peer_exchange.h
+++ b/src/relay/peer_exchange.h
@@ -73,6 +73,9 @@
   // Tells the near peers of state that came from another domain.
   auto PassOnState(RelayPort& aPort) -> void;
   auto OnNewerState(std::uint32_t aIp, bool aAnnounced) -> void;
+  // Agents are searched as long as they are heard, registered or not.
+  auto ObserveAgent(std::uint32_t aIp, const RelayHeartbeat& aHeartbeat)
+    -> void;
   // Fetches the route history of a peer that may know more former services.
   auto PullHistory(std::uint32_t aIp, const StateDigest& aDigest) -> void;
   // True in a full mesh, and for peers that exchange periodic heartbeats with
--- a/tests/agent_address_test.cpp
+++ b/tests/agent_address_test.cpp
@@ -159,7 +159,78 @@
 }
 
 // Guards against resets of live flows whose server's entry another program made
+// Guards against resets by a server that has just started and is not ready: its
+// agent was asked for flows as soon as it was heard.
+TEST(AgentAddress, AnAgentIsNotSearchedBeforeItsServerCouldRegister)
+{
+  ManualClock clock;
+  FleetState state(clock);
+  const Endpoint agent{ kIp, kModelAgentPort };
+  TargetSet set;
+  set.revision = 1;
+  set.targets = { EntryAt(kIp + 1) };
+  state.UpdateTargets(set, Millis{ 0 });
+  EXPECT_FALSE(state.ObserveAgent(agent, kService));
+  clock.Advance(kUnregisteredAgentDelay - Millis{ 1 });
+  EXPECT_FALSE(state.ObserveAgent(agent, kService));
+  EXPECT_EQ(state.TargetsOfService(kService).size(), 1U);
+  clock.Advance(Millis{ 1 });
+  EXPECT_TRUE(state.ObserveAgent(agent, kService));
+  EXPECT_EQ(state.TargetsOfService(kService).size(), 2U);
+}
+
 // The same when no other server of the service is registered, so that no
+// Guards against resets of live flows whose server's entry another program made
+// unusable: the server is no target any more, but holds its flows.
+TEST(AgentAddress, AServerWithoutAnEntryKeepsItsFlows)
+{
+  RelayModel model({ 5 }, 2);
+  const auto flows = model.OpenAnswered(30);
+  ASSERT_EQ(flows.size(), 30U);
+  model.Register(0, false);
+  model.Publish();
+  const auto send = [&] {
+    for (const auto flow : flows) {
+      model.SendRequest(flow, flow % 2);
+    }
+    model.Run(Millis{ 5000 });
+  };
+  for (Millis passed{ 0 }; passed < kGoneTargetRetention + Millis{ 5000 };
+       passed += Millis{ 5000 }) {
+    send();
+  }
+  const auto opened = model.Opened(0);
+  // Nothing is left of what anybody knew.
+  model.RestartAll();
+  model.Run(kUnregisteredAgentDelay + Millis{ 1000 });
+  send();
+  for (const auto flow : flows) {
+    EXPECT_FALSE(model.Flow(flow).reset);
+    EXPECT_EQ(model.Flow(flow).answers, model.Flow(flows.front()).answers);
+  }
+  EXPECT_EQ(model.Opened(0), opened);
+}
+
+// The same when no other server of the service is registered, so that no
+// directory agent is left.
+TEST(AgentAddress, TheOnlyServerOfAServiceKeepsItsFlowsWithoutAnEntry)
+{
+  RelayModel model({ 1 }, 2);
+  const auto flows = model.OpenAnswered(3);
+  ASSERT_EQ(flows.size(), 3U);
+  model.Register(0, false);
+  model.Publish();
+  model.Run(Millis{ 4000 });
+  for (const auto flow : flows) {
+    model.SendRequest(flow, 1);
+  }
+  model.Run(Millis{ 300 });
+  for (const auto flow : flows) {
+    EXPECT_EQ(model.Flow(flow).answers, 2U);
+    EXPECT_FALSE(model.Flow(flow).reset);
+  }
+}
+
 // An address that an agent had, and a balancer has now. Guards against its
 // former load, which made it preferred.
 TEST(AgentAddress, ABalancerAtAnAgentsAddressHasNoLoad)
--- a/tests/relay_model.cpp
+++ b/tests/relay_model.cpp
@@ -420,6 +420,10 @@
         if (const auto* heartbeat =
               std::get_if<RelayHeartbeat>(&message.body)) {
           const bool isNew = aNode.peers.OnHeartbeat(aFrom, *heartbeat);
+          if (!heartbeat->load.empty() && !heartbeat->stopping) {
+            aNode.state.ObserveAgent({ aFrom, kModelAgentPort },
+                                     heartbeat->load.front().service);
+          }
           OnDigest(aNode, aFrom, heartbeat->digest);
           if (isNew && aNode.agent && heartbeat->role == RelayRole::Agent) {
             aNode.agent->OnAgentStarted(aFrom, aNode.port);
