Store decoder: an entry that lacks any field of servers names no target

Callers saw: first packets sent to addresses without an agent.

Cause: the decoder required six of the nine fields that every server writes, and took the others for optional.

The good entries of three older tests lacked version, seq or both and have them now; the test that listed the required fields lists all nine. OddEntry.ARegistrationWithoutAnyFieldOfServersNamesNoTarget fails with the former decoder.

--- a/tests/odd_entry_test.cpp
+++ b/tests/odd_entry_test.cpp
@@ -220,6 +220,41 @@
   });
 }
 
+// Guards against entries of other programs that are used as servers although
+// they lack a field that each server writes, or have it with another type.
+TEST(OddEntry, ARegistrationWithoutAnyFieldOfServersNamesNoTarget)
+{
+  const auto usable = [](const json::object& aEntry) {
+    std::vector<DecodeFinding> findings;
+    const auto target = platform::DecodeTarget(
+      "id", json::serialize(aEntry), kAgentPort, findings);
+    EXPECT_EQ(findings.size(), target ? 0U : 1U);
+    return target.has_value();
+  };
+  const auto whole = Registration(1);
+  EXPECT_TRUE(usable(whole));
+  for (const auto& field : whole) {
+    auto without = whole;
+    without.erase(field.key());
+    EXPECT_FALSE(usable(without)) << field.key();
+    for (const json::value& other : std::initializer_list<json::value>{
+           nullptr, true, json::array{ 1 }, json::object() }) {
+      auto retyped = whole;
+      retyped[field.key()] = other;
+      EXPECT_FALSE(usable(retyped)) << field.key();
+    }
+    auto retyped = whole;
+    retyped[field.key()] =
+      field.value().is_string() ? json::value(7) : json::value("7");
+    EXPECT_FALSE(usable(retyped)) << field.key();
+  }
+  for (const auto* field : { "born", "seq", "slots" }) {
+    auto fraction = whole;
+    fraction[field] = 1.5;
+    EXPECT_FALSE(usable(fraction)) << field;
+  }
+}
+
 TEST(OddEntry, ARouteLeavesTheOthersAndMeansTheSameEverywhere)
 {
   ForEachOddText(Route(2), [](const auto& aField, const auto& aText) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -228,11 +228,11 @@
 TEST(StoreDecoder, SkipsUnusableEntriesOfATargetPage)
 {
   // {"service":"s","address":"10.0.0.9:80","zone":"z","slots":3,
-  //  "state":"ready","coldMs":500,"seq":4,"born":1700000000000}
+  //  "state":"ready","coldMs":500,"seq":4,"born":1700000000000,"version":"v1"}
   const std::string good =
     "eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxMC4wLjAuOTo4MCIsInpvbmUiOiJ6Iiwic2xv"
     "dHMiOjMsInN0YXRlIjoicmVhZHkiLCJjb2xkTXMiOjUwMCwic2VxIjo0LCJib3JuIjoxNzAw"
-    "MDAwMDAwMDAwfQ==";
+    "MDAwMDAwMDAwLCJ2ZXJzaW9uIjoidjEifQ==";
   const auto body = R"({"items":[{"key":"servers/a","value":")" + good +
                     R"("},{"key":"servers/b","value":"!!!"},)"
                     R"({"key":"servers/c","value":"eyJzZXJ2aWNlIjo3fQ=="},)"
@@ -262,21 +262,30 @@
     std::vector<DecodeFinding> findings;
     return DecodeTarget("id", aText, 1, findings).has_value();
   };
-  const std::string good = R"({"service":"s","address":"10.0.0.9:80",)"
-                           R"("zone":"z","slots":3,"state":"draining"})";
+  const std::string good =
+    R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":3,)"
+    R"("state":"draining","coldMs":0,"seq":4,"version":"v1","born":17})";
   EXPECT_TRUE(usable(good));
   EXPECT_FALSE(usable(""));
   EXPECT_FALSE(usable("[]"));
   for (const auto* part : { "\"service\":\"s\",",
                             "\"address\":\"10.0.0.9:80\",",
                             "\"zone\":\"z\",",
-                            "\"slots\":3," }) {
+                            "\"slots\":3,",
+                            "\"state\":\"draining\",",
+                            "\"coldMs\":0,",
+                            "\"seq\":4,",
+                            "\"version\":\"v1\",",
+                            ",\"born\":17" }) {
     EXPECT_FALSE(usable(Without(good, part))) << part;
   }
-  EXPECT_FALSE(usable(R"({"service":"s","address":"10.0.0.9:80","zone":"z",)"
-                      R"("slots":3,"state":"resting"})"));
-  EXPECT_FALSE(usable(R"({"service":"s","address":"10.0.0.9:80","zone":"z",)"
-                      R"("slots":-3,"state":"ready"})"));
+  const auto with = [&good](const std::string& aFrom, const std::string& aTo) {
+    auto text = good;
+    text.replace(text.find(aFrom), aFrom.size(), aTo);
+    return text;
+  };
+  EXPECT_FALSE(usable(with("draining", "resting")));
+  EXPECT_FALSE(usable(with(":3", ":-3")));
 }
 
 TEST(StoreDecoder, DecodesRoutes)
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -36,8 +36,8 @@
   const auto number = std::to_string(aNumber);
   return R"({"service": "s", "address": "10.0.0.)" + number +
          R"(:90", "zone": "zone-)" + std::to_string(aNumber % 3) +
-         R"(", "slots": 4, "coldMs": 0, "born": 100)" + number +
-         R"(, "state": ")" + aState + R"("})";
+         R"(", "slots": 4, "coldMs": 0, "seq": 1, "version": "v", "born": 100)" +
+         number + R"(, "state": ")" + aState + R"("})";
 }
 
 auto Configuration(int aVersion) -> std::string
--- a/tests/store_read_test.cpp
+++ b/tests/store_read_test.cpp
@@ -26,7 +26,7 @@
 {
   return R"({"service": ")" + std::string(aService) +
          R"(", "address": "10.0.0.1:90", "zone": "z", "slots": 4,)"
-         R"("coldMs": 0, "born": 1, "state": "ready"})";
+         R"("coldMs": 0, "seq": 1, "version": "v", "born": 1, "state": "ready"})";
 }
 
 auto Configuration(int aVersion, const char* aService = "s") -> std::string
